Add the workspace, its layers and the interfaces between them

Cause: an empty repository; every part needs the same types and checks. Change: Maven workspace for JDK 25 with Error Prone, google-java-format and Checkstyle; value types of the cell, platform interfaces, peer link, timer service, views and controls of the cell; generated protobuf code with the command that makes it; ArchUnit test of the layer arrows. Conclusion: parts can be built side by side against these interfaces.

--- /dev/null
+++ b/bench/src/main/java/org/vanillacove/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements. */
+package org.vanillacove.bench;
--- /dev/null
+++ b/cli/src/main/java/org/vanillacove/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The vanillacove command line. */
+package org.vanillacove.cli;
--- /dev/null
+++ b/coordination/src/main/java/org/vanillacove/coordination/api/package-info.java
@@ -0,0 +1,2 @@
+/** Interfaces between the parts of an entry host. */
+package org.vanillacove.coordination.api;
--- /dev/null
+++ b/coordination/src/main/java/org/vanillacove/coordination/package-info.java
@@ -0,0 +1,2 @@
+/** Leadership, membership, sessions, routing and configuration. */
+package org.vanillacove.coordination;
--- /dev/null
+++ b/daemon/src/main/java/org/vanillacove/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The vanillacoved binary. */
+package org.vanillacove.daemon;
--- /dev/null
+++ b/protocol/src/main/java/org/vanillacove/protocol/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The link between entry hosts. */
+package org.vanillacove.protocol.peer;
--- /dev/null
+++ b/protocol/src/main/java/org/vanillacove/protocol/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Interfaces of the platform: log, host list and workers. */
+package org.vanillacove.protocol.platform;
--- /dev/null
+++ b/protocol/src/main/java/org/vanillacove/protocol/timeline/package-info.java
@@ -0,0 +1,2 @@
+/** Events of the time line. */
+package org.vanillacove.protocol.timeline;
--- /dev/null
+++ b/protocol/src/main/java/org/vanillacove/protocol/timer/package-info.java
@@ -0,0 +1,2 @@
+/** Time as a service that parts subscribe to. */
+package org.vanillacove.protocol.timer;
--- /dev/null
+++ b/standin/src/main/java/org/vanillacove/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform, for tests and the local start. */
+package org.vanillacove.standin;
--- /dev/null
+++ b/state/src/main/java/org/vanillacove/state/api/WorkloadKind.java
@@ -0,0 +1,13 @@
+package org.vanillacove.state.api;
+
+/** The kinds of workload, each placed under its own policy. */
+public enum WorkloadKind {
+  /** Long-lived replicas that are replaced when lost. */
+  SERVICE,
+
+  /** Independent tasks that run to an end. */
+  BATCH,
+
+  /** Tasks that must all start together. */
+  GANG
+}
--- /dev/null
+++ b/transport/src/main/java/org/vanillacove/transport/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP, peer link and platform clients. */
+package org.vanillacove.transport;
