Add in-memory stand-ins of the platform and the bench launcher

Cause: every part needs time, log, workers and peer links that tests can make fail. Conclusion: parts can be tested under failure without sockets or real time.

--- /dev/null
+++ b/bench/src/main/java/org/vanillacove/bench/BenchMain.java
@@ -0,0 +1,51 @@
+package org.vanillacove.bench;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.CmdLineException;
+import org.kohsuke.args4j.CmdLineParser;
+import org.kohsuke.args4j.Option;
+
+/** Runs a bench by name and prints its figures as one JSON object. */
+public final class BenchMain {
+  /** Benches by name. */
+  private static final Map<String, Supplier<Bench>> BENCHES = new TreeMap<>();
+
+  /** Name of the bench. */
+  @Argument(required = true, metaVar = "NAME", usage = "name of the bench")
+  private String name;
+
+  /** Seed of all random numbers. */
+  @Option(name = "--seed", metaVar = "N", usage = "seed of all random numbers")
+  private long seed = 1;
+
+  private BenchMain() {}
+
+  /** Runs the bench named by the arguments. */
+  public static void main(String[] arguments) throws Exception {
+    BenchMain main = new BenchMain();
+    CmdLineParser parser = new CmdLineParser(main);
+    int code = 2;
+    try {
+      parser.parseArgument(arguments);
+      code = main.run();
+    } catch (CmdLineException e) {
+      System.err.println("error: " + e.getMessage() + "; benches: " + BENCHES.keySet());
+    }
+    System.exit(code);
+  }
+
+  private int run() throws Exception {
+    Supplier<Bench> bench = BENCHES.get(name);
+    if (bench == null) {
+      System.err.println("error: no bench " + name + "; benches: " + BENCHES.keySet());
+      return 2;
+    }
+    Map<String, Object> figures = bench.get().run(seed);
+    System.out.println(new ObjectMapper().writeValueAsString(figures));
+    return 0;
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/vanillacove/standin/memory/MemoryWorkerGateway.java
@@ -0,0 +1,70 @@
+package org.vanillacove.standin.memory;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentSkipListMap;
+import org.vanillacove.protocol.platform.WorkerCommand;
+import org.vanillacove.protocol.platform.WorkerGateway;
+import org.vanillacove.protocol.platform.WorkerReply;
+import org.vanillacove.state.api.WorkerSpec;
+
+/** A worker gateway to workers in memory, with workers that cannot be reached; thread-safe. */
+public final class MemoryWorkerGateway implements WorkerGateway {
+  /** Workers by identifier. */
+  private final Map<String, WorkerModel> workers = new ConcurrentSkipListMap<>();
+
+  /** Workers that commands do not reach. */
+  private final Set<String> cutOff = ConcurrentHashMap.newKeySet();
+
+  /** Workers whose commands take effect but whose replies are lost. */
+  private final Set<String> losingReplies = ConcurrentHashMap.newKeySet();
+
+  /** Adds a worker. */
+  public void add(WorkerModel worker) {
+    workers.put(worker.spec().id(), worker);
+  }
+
+  /** Takes a worker off the platform's list. */
+  public void remove(String workerId) {
+    workers.remove(workerId);
+  }
+
+  /** Sets whether commands reach a worker. */
+  public void setCutOff(String workerId, boolean cut) {
+    if (cut) {
+      cutOff.add(workerId);
+    } else {
+      cutOff.remove(workerId);
+    }
+  }
+
+  /** Sets whether the replies of a worker are lost. */
+  public void setLosingReplies(String workerId, boolean losing) {
+    if (losing) {
+      losingReplies.add(workerId);
+    } else {
+      losingReplies.remove(workerId);
+    }
+  }
+
+  @Override
+  public CompletableFuture<WorkerReply> send(WorkerSpec spec, WorkerCommand command) {
+    WorkerModel worker = workers.get(spec.id());
+    WorkerReply reply = new WorkerReply.Unknown("worker cannot be reached");
+    if (worker != null && !cutOff.contains(spec.id())) {
+      WorkerReply sent = worker.handle(command);
+      reply = losingReplies.contains(spec.id()) ? reply : sent;
+    }
+    return CompletableFuture.completedFuture(reply);
+  }
+
+  @Override
+  public CompletableFuture<Optional<List<WorkerSpec>>> listWorkers() {
+    List<WorkerSpec> specs = workers.values().stream().map(WorkerModel::spec).toList();
+    return CompletableFuture.completedFuture(Optional.of(specs));
+  }
+}
