--- a/coordination/src/main/java/org/vanillacove/coordination/api/CellView.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/api/CellView.java
@@ -1,6 +1,7 @@
 package org.vanillacove.coordination.api;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.vanillacove.state.api.HostSpec;
 import org.vanillacove.state.api.JobSpec;
@@ -30,6 +31,9 @@
   /** Returns the configuration versions that are still kept, oldest first. */
   List<ConfigurationVersion> configurationHistory();
 
+  /** Returns the configuration version in force on each member that is reachable. */
+  Map<String, Long> versionsInForce();
+
   /**
    * One configuration version.
    *
--- /dev/null
+++ b/coordination/src/main/java/org/vanillacove/coordination/cell/AdmissionCheck.java
@@ -0,0 +1,81 @@
+package org.vanillacove.coordination.cell;
+
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.vanillacove.coordination.stream.CellStore;
+import org.vanillacove.coordination.stream.EventShard;
+import org.vanillacove.coordination.stream.FoldListener;
+import org.vanillacove.state.api.Admission;
+import org.vanillacove.state.api.CellRecord;
+import org.vanillacove.state.api.JobSpec;
+import org.vanillacove.state.api.Placer;
+import org.vanillacove.state.api.RecordEnvelope;
+import org.vanillacove.state.cell.CellState;
+import org.vanillacove.state.cell.FoldOutcome;
+
+/** Tells on any host whether a job could ever run on the workers of the cell. */
+final class AdmissionCheck implements FoldListener {
+  /** The folded state. */
+  private final CellStore store;
+
+  /** Makes placers. */
+  private final Supplier<Placer> placers;
+
+  /** Serialises the placer. */
+  private final EventShard shard = new EventShard();
+
+  /** Placer that knows the workers but no jobs, empty if it has to be built. */
+  private Optional<Placer> placer = Optional.empty();
+
+  AdmissionCheck(CellStore store, Supplier<Placer> placers) {
+    this.store = store;
+    this.placers = placers;
+  }
+
+  /** Returns why a job can never run, empty if it can or if no worker is known yet. */
+  Optional<Admission.NeverFits> check(JobSpec spec) {
+    if (store.read(state -> state.workers().isEmpty())) {
+      return Optional.empty();
+    }
+    Admission admission =
+        shard.read(
+            () -> {
+              if (placer.isEmpty()) {
+                placer = Optional.of(store.read(this::build));
+              }
+              return placer.get().check(spec);
+            });
+    return admission instanceof Admission.NeverFits never ? Optional.of(never) : Optional.empty();
+  }
+
+  @Override
+  public void folded(long offset, RecordEnvelope envelope, FoldOutcome outcome) {
+    boolean matters =
+        switch (envelope.record()) {
+          case CellRecord.WorkerJoined joined -> true;
+          case CellRecord.WorkerChanged changed -> true;
+          case CellRecord.DomainDeclaredLost lost -> true;
+          default -> false;
+        };
+    if (matters) {
+      reloaded();
+    }
+  }
+
+  @Override
+  public void reloaded() {
+    shard.execute(() -> placer = Optional.empty());
+  }
+
+  private Placer build(CellState state) {
+    Placer built = placers.get();
+    state
+        .workers()
+        .forEach(
+            worker -> {
+              built.addWorker(worker.spec());
+              built.setWorkerStatus(worker.spec().id(), worker.status());
+            });
+    return built;
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/vanillacove/coordination/cell/CellNode.java
@@ -0,0 +1,384 @@
+package org.vanillacove.coordination.cell;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.vanillacove.coordination.api.CellControl;
+import org.vanillacove.coordination.api.CellTimings;
+import org.vanillacove.coordination.api.CellView;
+import org.vanillacove.coordination.api.Membership;
+import org.vanillacove.coordination.api.ProposalOutcome;
+import org.vanillacove.coordination.leadership.Leadership;
+import org.vanillacove.coordination.membership.MembershipService;
+import org.vanillacove.coordination.membership.PeerTable;
+import org.vanillacove.coordination.membership.StandingKeeper;
+import org.vanillacove.coordination.scheduling.LeaderContext;
+import org.vanillacove.coordination.scheduling.LeaderScheduler;
+import org.vanillacove.coordination.scheduling.SafetyRules;
+import org.vanillacove.coordination.session.PlanStore;
+import org.vanillacove.coordination.session.SessionHolder;
+import org.vanillacove.coordination.stream.CellStore;
+import org.vanillacove.coordination.stream.FoldListener;
+import org.vanillacove.coordination.stream.StreamReader;
+import org.vanillacove.coordination.stream.StreamWriter;
+import org.vanillacove.protocol.peer.PeerLink;
+import org.vanillacove.protocol.platform.HostList;
+import org.vanillacove.protocol.platform.PlatformLog;
+import org.vanillacove.protocol.platform.WorkerGateway;
+import org.vanillacove.protocol.timeline.TimelineRecorder;
+import org.vanillacove.protocol.timer.TimerService;
+import org.vanillacove.state.api.CellRecord;
+import org.vanillacove.state.api.HostSpec;
+import org.vanillacove.state.api.JobSpec;
+import org.vanillacove.state.api.PlacementSettings;
+import org.vanillacove.state.api.Placer;
+import org.vanillacove.state.api.RecordEnvelope;
+import org.vanillacove.state.api.WorkerStatus;
+import org.vanillacove.state.cell.CellState;
+import org.vanillacove.state.cell.FoldOutcome;
+
+/** One entry host's part in the cell. */
+public final class CellNode implements CellView, CellControl, Membership, AutoCloseable {
+  /** Longest time that leaving waits for another leader, in milliseconds. */
+  private static final long HANDOVER_MILLIS = 5_000;
+
+  /** Longest time that leaving waits for its record. */
+  private static final Duration LEAVE_DEADLINE = Duration.ofSeconds(5);
+
+  /** This host. */
+  private final HostSpec self;
+
+  /** Source of time. */
+  private final TimerService timer;
+
+  /** Times that are kept. */
+  private final CellTimings timings;
+
+  /** The folded state. */
+  private final CellStore store = new CellStore();
+
+  /** The newest plan. */
+  private final PlanStore plans = new PlanStore(store);
+
+  /** The tail of the stream. */
+  private final StreamReader reader;
+
+  /** Takes records. */
+  private final StreamWriter writer;
+
+  /** Heartbeats and agreed membership. */
+  private final MembershipService membership;
+
+  /** Standing of this host. */
+  private final StandingKeeper standing;
+
+  /** Claims of leadership. */
+  private final Leadership leadership;
+
+  /** The leader's work. */
+  private final LeaderScheduler scheduler;
+
+  /** Sessions of workers. */
+  private final SessionHolder sessions;
+
+  /** Configurations that come into force. */
+  private final ConfigurationFeed configuration;
+
+  /** Reads. */
+  private final CellView view;
+
+  /** Changes. */
+  private final CellControl control;
+
+  /** Creates a node that does nothing before {@link #start}. */
+  public CellNode(
+      HostSpec self,
+      List<HostSpec> seeds,
+      PlatformLog log,
+      WorkerGateway gateway,
+      HostList hostList,
+      PeerLink link,
+      TimerService timer,
+      TimelineRecorder timeline,
+      Supplier<Placer> placers,
+      CellTimings timings) {
+    this(
+        self,
+        seeds,
+        log,
+        gateway,
+        hostList,
+        link,
+        timer,
+        timeline,
+        placers,
+        timings,
+        SafetyRules.ALL);
+  }
+
+  /** Creates a node under given safety rules, for checks that show what each rule is for. */
+  public CellNode(
+      HostSpec self,
+      List<HostSpec> seeds,
+      PlatformLog log,
+      WorkerGateway gateway,
+      HostList hostList,
+      PeerLink link,
+      TimerService timer,
+      TimelineRecorder timeline,
+      Supplier<Placer> placers,
+      CellTimings timings,
+      SafetyRules rules) {
+    this.self = self;
+    this.timer = timer;
+    this.timings = timings;
+    String incarnation =
+        Long.toString(timer.wallMillis(), Character.MAX_RADIX)
+            + Long.toString(System.nanoTime() & 0xfffff, Character.MAX_RADIX);
+    PeerTable peers = new PeerTable();
+    reader = new StreamReader(log, store, timer, timings);
+    writer = new StreamWriter(log, reader, store, timer, timings, self.id(), incarnation);
+    membership =
+        new MembershipService(
+            self, seeds, link, hostList, timer, timings, reader, writer, store, plans, peers);
+    standing = new StandingKeeper(self, link, timer, timings, store, reader, plans);
+    LeaderContext context =
+        new LeaderContext(
+            self.id(),
+            store,
+            reader,
+            writer,
+            gateway,
+            membership,
+            peers,
+            plans,
+            standing,
+            timer,
+            timings,
+            timeline,
+            placers,
+            rules);
+    scheduler = new LeaderScheduler(context);
+    leadership =
+        new Leadership(
+            self, store, reader, writer, membership, peers, timer, timings, timeline, scheduler);
+    sessions =
+        new SessionHolder(self, gateway, link, timer, timings, store, plans, standing, scheduler);
+    configuration = new ConfigurationFeed(store);
+    AdmissionCheck admission = new AdmissionCheck(store, placers);
+    view = new FoldedView(store, reader, membership, scheduler, configuration);
+    control = new CellController(writer, admission, timer);
+    List.of(configuration, admission, leadership, scheduler, sessions, writer, claimWatch())
+        .forEach(store::addListener);
+  }
+
+  /** Starts to take part in the cell. */
+  public void start() {
+    reader.start();
+    sessions.registerLeaderHandler();
+    membership.start(standing::vote);
+    standing.start();
+    leadership.start();
+    scheduler.start();
+    sessions.start();
+  }
+
+  /**
+   * Hands over leadership and sessions, leaves the agreed membership and stops; the future
+   * completes when all is done or the log did not take the record in time.
+   */
+  public CompletableFuture<Void> leave() {
+    CompletableFuture<Void> left = new CompletableFuture<>();
+    awaitHandover(timer.monotonicMillis() + HANDOVER_MILLIS, left);
+    return left;
+  }
+
+  /** Stops at once, as a killed process does. */
+  @Override
+  public void close() {
+    sessions.close();
+    scheduler.close();
+    leadership.close();
+    standing.close();
+    membership.close();
+    writer.close();
+    reader.close();
+  }
+
+  /** Tells {@code subscriber} each configuration that comes into force, the present one at once. */
+  public void onConfiguration(Consumer<ConfigurationVersion> subscriber) {
+    configuration.subscribe(subscriber);
+  }
+
+  /** Sets the policy values of placement, for instance from a configuration. */
+  public void configurePlacement(PlacementSettings settings) {
+    scheduler.configure(settings);
+  }
+
+  /** Returns the workers whose sessions this host holds. */
+  public Set<String> heldWorkers() {
+    return sessions.heldWorkers();
+  }
+
+  /** Returns whether this host has folded the log to its end within the standing time. */
+  public boolean isCaughtUp() {
+    long age = timer.monotonicMillis() - reader.freshAsOfMillis();
+    return age <= timings.standing().toMillis();
+  }
+
+  @Override
+  public List<JobView> jobs() {
+    return view.jobs();
+  }
+
+  @Override
+  public Optional<JobView> job(String jobId) {
+    return view.job(jobId);
+  }
+
+  @Override
+  public List<WorkerView> workers() {
+    return view.workers();
+  }
+
+  @Override
+  public CellStatus status() {
+    return view.status();
+  }
+
+  @Override
+  public long configurationVersion() {
+    return view.configurationVersion();
+  }
+
+  @Override
+  public List<ConfigurationVersion> configurationHistory() {
+    return view.configurationHistory();
+  }
+
+  @Override
+  public Map<String, Long> versionsInForce() {
+    return view.versionsInForce();
+  }
+
+  @Override
+  public CompletableFuture<ProposalOutcome> submitJob(
+      String jobId, JobSpec spec, Duration deadline) {
+    return control.submitJob(jobId, spec, deadline);
+  }
+
+  @Override
+  public CompletableFuture<ProposalOutcome> cancelJob(
+      String jobId, String reason, Duration deadline) {
+    return control.cancelJob(jobId, reason, deadline);
+  }
+
+  @Override
+  public CompletableFuture<ProposalOutcome> putConfiguration(
+      long basedOn, String document, String author, String reason, Duration deadline) {
+    return control.putConfiguration(basedOn, document, author, reason, deadline);
+  }
+
+  @Override
+  public CompletableFuture<ProposalOutcome> changeWorker(
+      String workerId, WorkerStatus status, String reason, Duration deadline) {
+    return control.changeWorker(workerId, status, reason, deadline);
+  }
+
+  @Override
+  public CompletableFuture<ProposalOutcome> declareLost(
+      String region, Optional<String> zone, String reason, Duration deadline) {
+    return control.declareLost(region, zone, reason, deadline);
+  }
+
+  @Override
+  public HostSpec self() {
+    return self;
+  }
+
+  @Override
+  public List<HostSpec> agreedHosts() {
+    return store.read(CellState::hosts);
+  }
+
+  @Override
+  public boolean isReachable(String hostId) {
+    return membership.isReachable(hostId);
+  }
+
+  @Override
+  public boolean hasStanding() {
+    return standing.hasStanding();
+  }
+
+  @Override
+  public long epoch() {
+    return store.epoch();
+  }
+
+  @Override
+  public boolean isLeader() {
+    return leadership.leadingEpoch() != 0 && standing.remainingMillis() > 0;
+  }
+
+  @Override
+  public void onChange(Runnable listener) {
+    membership.onChange(listener);
+  }
+
+  private FoldListener claimWatch() {
+    return new FoldListener() {
+      @Override
+      public void folded(long offset, RecordEnvelope envelope, FoldOutcome outcome) {
+        boolean claim = envelope.record() instanceof CellRecord.LeaderClaimed;
+        if (claim && outcome instanceof FoldOutcome.Applied) {
+          standing.askSoon();
+        }
+      }
+
+      @Override
+      public void reloaded() {
+        standing.askSoon();
+      }
+    };
+  }
+
+  /** Waits until the leader's work is done, then until another host leads, then leaves. */
+  private void awaitHandover(long deadlineMillis, CompletableFuture<Void> left) {
+    boolean late = timer.monotonicMillis() >= deadlineMillis;
+    boolean drained = scheduler.drain() || late;
+    if (drained && !membership.isLeaving(self.id())) {
+      membership.setLeaving();
+    }
+    Optional<String> leader = store.read(CellState::leader);
+    boolean alone = agreedHosts().stream().noneMatch(this::isReachableOther);
+    boolean handedOver = leader.isEmpty() || !leader.get().equals(self.id());
+    if (drained && (handedOver || alone || late)) {
+      depart(left);
+    } else {
+      timer.after(timings.heartbeat(), () -> awaitHandover(deadlineMillis, left));
+    }
+  }
+
+  private boolean isReachableOther(HostSpec host) {
+    return !host.id().equals(self.id()) && membership.isReachable(host.id());
+  }
+
+  private void depart(CompletableFuture<Void> left) {
+    writer
+        .write(0, new CellRecord.HostLeft(self.id(), "leaves"), Optional.of(LEAVE_DEADLINE))
+        .thenAccept(
+            result ->
+                timer.after(
+                    Duration.ZERO,
+                    () -> {
+                      close();
+                      left.complete(null);
+                    }));
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/vanillacove/coordination/leadership/package-info.java
@@ -0,0 +1,2 @@
+/** Claims of leadership. */
+package org.vanillacove.coordination.leadership;
--- /dev/null
+++ b/coordination/src/main/java/org/vanillacove/coordination/scheduling/package-info.java
@@ -0,0 +1,2 @@
+/** The leader's work: takeover, starts, ends, and certainty that leases have lapsed. */
+package org.vanillacove.coordination.scheduling;
--- /dev/null
+++ b/protocol/src/main/java/org/vanillacove/protocol/record/package-info.java
@@ -0,0 +1,2 @@
+/** The records of the cell's stream and its snapshots as bytes. */
+package org.vanillacove.protocol.record;
--- /dev/null
+++ b/state/src/main/java/org/vanillacove/state/cell/CellState.java
@@ -0,0 +1,447 @@
+package org.vanillacove.state.cell;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.vanillacove.state.api.CellRecord;
+import org.vanillacove.state.api.HostSpec;
+import org.vanillacove.state.api.JobSpec;
+import org.vanillacove.state.api.RecordEnvelope;
+import org.vanillacove.state.api.RerunPolicy;
+import org.vanillacove.state.api.TaskId;
+import org.vanillacove.state.api.TaskOutcome;
+import org.vanillacove.state.api.WorkerSpec;
+import org.vanillacove.state.api.WorkerStatus;
+
+/**
+ * The state of the cell, a pure function of the records folded in order of their offsets; not
+ * thread-safe.
+ */
+public final class CellState {
+  /** Settled jobs that are kept with their tasks. */
+  public static final int MAX_SETTLED_JOBS = 2_048;
+
+  /** Identifiers of forgotten jobs that are still refused. */
+  public static final int MAX_FORGOTTEN_JOBS = 16_384;
+
+  /** Configuration versions that are kept. */
+  public static final int MAX_CONFIGURATIONS = 32;
+
+  /** Writers whose newest proposal is remembered. */
+  public static final int MAX_WRITERS = 256;
+
+  /** Largest number of tasks of a job. */
+  public static final int MAX_TASKS = 10_000;
+
+  /** Jobs in order of acceptance. */
+  private final Map<String, JobState> jobs = new LinkedHashMap<>();
+
+  /** Settled jobs, first to be forgotten first. */
+  private final Set<String> settledOrder = new LinkedHashSet<>();
+
+  /** Fingerprints of forgotten job identifiers, oldest first. */
+  private final Set<Long> forgottenJobs = new LinkedHashSet<>();
+
+  /** Workers by identifier. */
+  private final SortedMap<String, WorkerState> workers = new TreeMap<>();
+
+  /** Agreed entry hosts by identifier. */
+  private final SortedMap<String, HostSpec> hosts = new TreeMap<>();
+
+  /** Kept configuration versions, oldest first. */
+  private final ArrayDeque<ConfigurationEntry> configurations = new ArrayDeque<>();
+
+  /** Newest record of each writer, least recently heard of first. */
+  private final LinkedHashMap<String, WriterPosition> writers = new LinkedHashMap<>();
+
+  /** Offset one past the newest folded record. */
+  private long nextOffset;
+
+  /** Leadership epoch. */
+  private long epoch;
+
+  /** Leader of the epoch, empty text before the first claim. */
+  private String leader = "";
+
+  /** Returns a state with the content of a snapshot. */
+  public static CellState restore(CellSnapshot snapshot) {
+    CellState state = new CellState();
+    state.nextOffset = snapshot.nextOffset();
+    state.epoch = snapshot.epoch();
+    state.leader = snapshot.leader();
+    for (CellSnapshot.Worker worker : snapshot.workers()) {
+      state.workers.put(worker.spec().id(), new WorkerState(worker.spec(), worker.status()));
+    }
+    snapshot.jobs().forEach(state::restoreJob);
+    state.settledOrder.addAll(snapshot.settledOrder());
+    state.forgottenJobs.addAll(snapshot.forgottenJobs());
+    snapshot.hosts().forEach(host -> state.hosts.put(host.id(), host));
+    state.configurations.addAll(snapshot.configurations());
+    state.writers.putAll(snapshot.writers());
+    return state;
+  }
+
+  /** Returns the whole content. */
+  public CellSnapshot snapshot() {
+    List<CellSnapshot.Job> jobList = new ArrayList<>();
+    for (JobState job : jobs.values()) {
+      jobList.add(
+          new CellSnapshot.Job(
+              job.jobId(),
+              job.spec(),
+              job.acceptedAtMillis(),
+              job.acceptedOffset(),
+              job.isCancelled(),
+              job.tasks()));
+    }
+    List<CellSnapshot.Worker> workerList =
+        workers.values().stream()
+            .map(worker -> new CellSnapshot.Worker(worker.spec(), worker.status()))
+            .toList();
+    return new CellSnapshot(
+        nextOffset,
+        epoch,
+        leader,
+        jobList,
+        List.copyOf(settledOrder),
+        List.copyOf(forgottenJobs),
+        workerList,
+        List.copyOf(hosts.values()),
+        List.copyOf(configurations),
+        new LinkedHashMap<>(writers));
+  }
+
+  /** Folds the record at {@code offset}; offsets must rise. */
+  public FoldOutcome apply(long offset, RecordEnvelope envelope) {
+    if (offset < nextOffset) {
+      throw new IllegalArgumentException("offset " + offset + " was folded before");
+    }
+    nextOffset = offset + 1;
+    Optional<ProposalId> proposal = ProposalId.parse(envelope.proposalId());
+    if (proposal.isEmpty()) {
+      return new FoldOutcome.Invalid("proposalId", "not a proposal identifier");
+    }
+    if (!advanceWriter(proposal.get(), offset)) {
+      return new FoldOutcome.Duplicate();
+    }
+    CellRecord record = envelope.record();
+    boolean claim = record instanceof CellRecord.LeaderClaimed;
+    boolean needsLeader =
+        record instanceof CellRecord.TaskStarted || record instanceof CellRecord.TaskEnded;
+    if (!claim && envelope.epoch() != epoch && (needsLeader || envelope.epoch() != 0)) {
+      return new FoldOutcome.StaleEpoch(epoch);
+    }
+    return switch (record) {
+      case CellRecord.LeaderClaimed claimed -> claim(envelope.epoch(), claimed);
+      case CellRecord.JobAccepted accepted -> accept(offset, accepted);
+      case CellRecord.JobCancelled cancelled -> cancel(cancelled);
+      case CellRecord.TaskStarted started -> start(started);
+      case CellRecord.TaskEnded ended -> end(ended);
+      case CellRecord.WorkerJoined joined -> joinWorker(joined.worker());
+      case CellRecord.WorkerChanged changed -> changeWorker(changed);
+      case CellRecord.HostJoined joined -> joinHost(joined.host());
+      case CellRecord.HostLeft left -> leaveHost(left);
+      case CellRecord.ConfigurationChanged changed -> configure(offset, changed);
+      case CellRecord.DomainDeclaredLost lost -> loseDomain(lost);
+      case CellRecord.StateDigest digest -> applied();
+      case CellRecord.SnapshotChunk chunk -> applied();
+    };
+  }
+
+  /** Passes over the record at {@code offset}, which this version cannot read. */
+  public void skip(long offset) {
+    nextOffset = offset + 1;
+  }
+
+  /** Returns the offset one past the newest folded record. */
+  public long nextOffset() {
+    return nextOffset;
+  }
+
+  /** Returns the leadership epoch, zero before the first claim. */
+  public long epoch() {
+    return epoch;
+  }
+
+  /** Returns the leader of the epoch. */
+  public Optional<String> leader() {
+    return leader.isEmpty() ? Optional.empty() : Optional.of(leader);
+  }
+
+  /** Returns the jobs in order of acceptance. */
+  public Collection<JobState> jobs() {
+    return Collections.unmodifiableCollection(jobs.values());
+  }
+
+  /** Returns one job. */
+  public Optional<JobState> job(String jobId) {
+    return Optional.ofNullable(jobs.get(jobId));
+  }
+
+  /** Returns one task. */
+  public Optional<TaskState> task(TaskId task) {
+    return job(task.jobId())
+        .filter(job -> task.index() >= 0 && task.index() < job.spec().taskCount())
+        .map(job -> job.task(task.index()));
+  }
+
+  /** Returns the workers by identifier. */
+  public Collection<WorkerState> workers() {
+    return Collections.unmodifiableCollection(workers.values());
+  }
+
+  /** Returns one worker. */
+  public Optional<WorkerState> worker(String workerId) {
+    return Optional.ofNullable(workers.get(workerId));
+  }
+
+  /** Returns the agreed entry hosts by identifier. */
+  public List<HostSpec> hosts() {
+    return List.copyOf(hosts.values());
+  }
+
+  /** Returns the configuration in force. */
+  public ConfigurationEntry configuration() {
+    return configurations.isEmpty() ? ConfigurationEntry.NONE : configurations.getLast();
+  }
+
+  /** Returns the kept configuration versions, oldest first. */
+  public List<ConfigurationEntry> configurations() {
+    return List.copyOf(configurations);
+  }
+
+  /** Returns the newest sequence number of a writer, zero if none is known. */
+  public long sequenceOf(String writer) {
+    WriterPosition position = writers.get(writer);
+    return position == null ? 0 : position.sequence();
+  }
+
+  private void restoreJob(CellSnapshot.Job from) {
+    JobState job =
+        new JobState(from.jobId(), from.spec(), from.acceptedAtMillis(), from.acceptedOffset());
+    if (from.cancelled()) {
+      job.cancel();
+    }
+    for (int i = 0; i < from.tasks().size(); i++) {
+      TaskState task = from.tasks().get(i);
+      job.set(i, task);
+      TaskId id = new TaskId(from.jobId(), i);
+      task.workerId().ifPresent(workerId -> workers.get(workerId).add(id, from.spec().resources()));
+    }
+    jobs.put(from.jobId(), job);
+  }
+
+  private boolean advanceWriter(ProposalId proposal, long offset) {
+    WriterPosition last = writers.get(proposal.writer());
+    if (last != null && proposal.sequence() <= last.sequence()) {
+      return false;
+    }
+    writers.remove(proposal.writer());
+    writers.put(proposal.writer(), new WriterPosition(proposal.sequence(), offset));
+    if (writers.size() > MAX_WRITERS) {
+      writers.remove(writers.firstEntry().getKey());
+    }
+    return true;
+  }
+
+  private FoldOutcome claim(long newEpoch, CellRecord.LeaderClaimed claimed) {
+    if (newEpoch != epoch + 1) {
+      return new FoldOutcome.StaleEpoch(epoch);
+    }
+    epoch = newEpoch;
+    leader = claimed.host();
+    return applied();
+  }
+
+  private FoldOutcome accept(long offset, CellRecord.JobAccepted accepted) {
+    String jobId = accepted.jobId();
+    JobSpec spec = accepted.spec();
+    JobState present = jobs.get(jobId);
+    if (present != null) {
+      return present.spec().equals(spec)
+          ? applied()
+          : invalid("jobId", "identifier belongs to another job");
+    }
+    if (forgottenJobs.contains(fingerprint(jobId))) {
+      return invalid("jobId", "identifier belongs to a job that ended long ago");
+    }
+    if (jobId.isEmpty() || jobId.indexOf('/') >= 0) {
+      return invalid("jobId", "must not be empty nor contain a slash");
+    }
+    if (spec.taskCount() < 1 || spec.taskCount() > MAX_TASKS) {
+      return invalid("taskCount", "must be between 1 and " + MAX_TASKS);
+    }
+    if (spec.resources().isNegative()) {
+      return invalid("resources", "must not be negative");
+    }
+    jobs.put(jobId, new JobState(jobId, spec, accepted.acceptedAtMillis(), offset));
+    return applied();
+  }
+
+  private FoldOutcome cancel(CellRecord.JobCancelled cancelled) {
+    JobState job = jobs.get(cancelled.jobId());
+    if (job == null) {
+      return invalid("jobId", "no such job");
+    }
+    job.cancel();
+    forgetIfSettled(job);
+    return applied();
+  }
+
+  private FoldOutcome start(CellRecord.TaskStarted started) {
+    Optional<TaskState> found = task(started.task());
+    if (found.isEmpty()) {
+      return invalid("task", "no such task");
+    }
+    TaskState task = found.get();
+    JobState job = jobs.get(started.task().jobId());
+    if (job.isCancelled() || !task.isPending() || started.attempt() <= task.attempt()) {
+      return invalid("task", "is not waiting for attempt " + started.attempt());
+    }
+    WorkerState worker = workers.get(started.workerId());
+    if (worker == null || worker.status() == WorkerStatus.LOST) {
+      return invalid("worker", "no such worker");
+    }
+    if (!worker.committed().plus(job.spec().resources()).fitsIn(worker.spec().capacity())) {
+      return invalid("worker", "capacity exceeded");
+    }
+    worker.add(started.task(), job.spec().resources());
+    job.set(
+        started.task().index(),
+        task.started(started.attempt(), started.workerId(), started.mode()));
+    return applied();
+  }
+
+  private FoldOutcome end(CellRecord.TaskEnded ended) {
+    Optional<TaskState> found = task(ended.task());
+    if (found.isEmpty() || !found.get().isRunning() || found.get().attempt() != ended.attempt()) {
+      return invalid("task", "attempt " + ended.attempt() + " does not run");
+    }
+    endTask(ended.task(), found.get(), ended.outcome());
+    return applied();
+  }
+
+  private void endTask(TaskId id, TaskState task, TaskOutcome outcome) {
+    JobState job = jobs.get(id.jobId());
+    workers.get(task.workerId().orElseThrow()).remove(id, job.spec().resources());
+    boolean settled =
+        job.isCancelled() || SettlementRule.isSettled(job.spec(), outcome, task.failures());
+    job.set(id.index(), task.ended(outcome, settled));
+    forgetIfSettled(job);
+  }
+
+  private void forgetIfSettled(JobState job) {
+    if (!job.isSettled() || !settledOrder.add(job.jobId())) {
+      return;
+    }
+    if (settledOrder.size() > MAX_SETTLED_JOBS) {
+      String oldest = settledOrder.iterator().next();
+      settledOrder.remove(oldest);
+      jobs.remove(oldest);
+      forgottenJobs.add(fingerprint(oldest));
+    }
+    if (forgottenJobs.size() > MAX_FORGOTTEN_JOBS) {
+      forgottenJobs.remove(forgottenJobs.iterator().next());
+    }
+  }
+
+  private FoldOutcome joinWorker(WorkerSpec spec) {
+    WorkerState present = workers.get(spec.id());
+    if (present == null) {
+      workers.put(spec.id(), new WorkerState(spec, WorkerStatus.ACTIVE));
+      return applied();
+    }
+    if (!present.committed().fitsIn(spec.capacity())) {
+      return invalid("capacity", "is less than what is committed");
+    }
+    present.setSpec(spec);
+    if (present.status() == WorkerStatus.LOST) {
+      present.setStatus(WorkerStatus.ACTIVE);
+    }
+    return applied();
+  }
+
+  private FoldOutcome changeWorker(CellRecord.WorkerChanged changed) {
+    WorkerState worker = workers.get(changed.workerId());
+    if (worker == null) {
+      return invalid("workerId", "no such worker");
+    }
+    if (changed.status() == WorkerStatus.LOST) {
+      loseWorker(worker);
+    }
+    worker.setStatus(changed.status());
+    return applied();
+  }
+
+  private void loseWorker(WorkerState worker) {
+    for (TaskId id : List.copyOf(worker.running())) {
+      boolean once = jobs.get(id.jobId()).spec().rerun() == RerunPolicy.AT_MOST_ONCE;
+      endTask(id, task(id).orElseThrow(), once ? TaskOutcome.UNKNOWN : TaskOutcome.LOST);
+    }
+  }
+
+  private FoldOutcome joinHost(HostSpec host) {
+    hosts.put(host.id(), host);
+    return applied();
+  }
+
+  private FoldOutcome leaveHost(CellRecord.HostLeft left) {
+    return hosts.remove(left.hostId()) == null ? invalid("hostId", "is not a member") : applied();
+  }
+
+  private FoldOutcome configure(long offset, CellRecord.ConfigurationChanged changed) {
+    ConfigurationEntry inForce = configuration();
+    if (changed.basedOn() != inForce.version()) {
+      return new FoldOutcome.Conflict(inForce);
+    }
+    if (offset == 0) {
+      return invalid("basedOn", "no host has joined yet");
+    }
+    configurations.addLast(
+        new ConfigurationEntry(offset, changed.document(), changed.author(), changed.reason()));
+    if (configurations.size() > MAX_CONFIGURATIONS) {
+      configurations.removeFirst();
+    }
+    return applied();
+  }
+
+  private FoldOutcome loseDomain(CellRecord.DomainDeclaredLost lost) {
+    for (WorkerState worker : workers.values()) {
+      WorkerSpec spec = worker.spec();
+      if (isIn(lost, spec.zone().region(), spec.zone().name())) {
+        loseWorker(worker);
+        worker.setStatus(WorkerStatus.LOST);
+      }
+    }
+    hosts.values().removeIf(host -> isIn(lost, host.zone().region(), host.zone().name()));
+    return applied();
+  }
+
+  private static boolean isIn(CellRecord.DomainDeclaredLost lost, String region, String zone) {
+    return lost.region().equals(region)
+        && (lost.zone().isEmpty() || lost.zone().get().equals(zone));
+  }
+
+  private static long fingerprint(String jobId) {
+    return Hashing.farmHashFingerprint64().hashString(jobId, StandardCharsets.UTF_8).asLong();
+  }
+
+  private static FoldOutcome invalid(String field, String reason) {
+    return new FoldOutcome.Invalid(field, reason);
+  }
+
+  private static FoldOutcome applied() {
+    return new FoldOutcome.Applied();
+  }
+}
