Add first-fit and best-fit placers in order of arrival

The placement policy needs baselines to be compared with, and the first end-to-end path needs a placer. Both scan all workers for each job, start gangs whole or not at all and refuse what can never run with the constraint that fails and the nearest shape.

--- /dev/null
+++ b/state/src/main/java/org/vanillacove/state/placement/ArrivalOrderPlacer.java
@@ -0,0 +1,201 @@
+package org.vanillacove.state.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.vanillacove.state.api.Admission;
+import org.vanillacove.state.api.JobSpec;
+import org.vanillacove.state.api.PlacementDecision;
+import org.vanillacove.state.api.PlacementSettings;
+import org.vanillacove.state.api.Placer;
+import org.vanillacove.state.api.Resources;
+import org.vanillacove.state.api.TaskId;
+import org.vanillacove.state.api.TaskOutcome;
+import org.vanillacove.state.api.WaitReason;
+import org.vanillacove.state.api.WorkerSpec;
+import org.vanillacove.state.api.WorkerStatus;
+import org.vanillacove.state.api.WorkloadKind;
+
+/**
+ * Baseline that scans all workers for each job in order of arrival.
+ *
+ * <p>A job that does not fit is passed over; quotas, priorities and usage are not looked at.
+ */
+abstract class ArrivalOrderPlacer implements Placer {
+  /** Known workers by identifier, in order of arrival. */
+  private final Map<String, WorkerState> workers = new LinkedHashMap<>();
+
+  /** Jobs with tasks that wait or run, in order of arrival. */
+  private final Map<String, Job> jobs = new LinkedHashMap<>();
+
+  /** Number of the next worker. */
+  private int nextNumber;
+
+  @Override
+  public final void addWorker(WorkerSpec worker) {
+    WorkerState known = workers.get(worker.id());
+    if (known == null) {
+      workers.put(worker.id(), new WorkerState(nextNumber++, worker));
+    } else {
+      known.reshape(worker);
+    }
+  }
+
+  @Override
+  public final void setWorkerStatus(String workerId, WorkerStatus status) {
+    WorkerState worker = workers.get(workerId);
+    if (worker != null) {
+      worker.setStatus(status);
+      dropIfGone(worker);
+    }
+  }
+
+  @Override
+  public void configure(PlacementSettings settings) {}
+
+  @Override
+  public final Admission check(JobSpec spec) {
+    List<WorkerSpec> usable =
+        workers.values().stream()
+            .filter(w -> w.isActive() || w.status() == WorkerStatus.QUARANTINED)
+            .map(WorkerState::spec)
+            .toList();
+    return FeasibilityCheck.check(spec, usable);
+  }
+
+  @Override
+  public final void submit(String jobId, JobSpec spec, long nowMillis) {
+    jobs.putIfAbsent(jobId, new Job(jobId, spec, nowMillis));
+  }
+
+  @Override
+  public final void cancel(String jobId) {
+    Job job = jobs.get(jobId);
+    if (job != null) {
+      job.markCancelled();
+      dropIfFinished(job);
+    }
+  }
+
+  @Override
+  public final void restore(TaskId task, String workerId, long startedAtMillis) {
+    Job job = jobs.get(task.jobId());
+    WorkerState worker = workers.get(workerId);
+    if (job != null && worker != null && job.running(task.index()).isEmpty()) {
+      start(job, task.index(), worker, startedAtMillis);
+    }
+  }
+
+  @Override
+  public final void taskEnded(TaskId task, TaskOutcome outcome, long nowMillis) {
+    Job job = jobs.get(task.jobId());
+    if (job == null) {
+      return;
+    }
+    Optional<RunningTask> running = job.running(task.index());
+    running.ifPresent(this::release);
+    boolean again = RerunRule.runsAgain(job.spec(), outcome);
+    if (!again) {
+      job.removePending(task.index());
+    } else if (running.isPresent()) {
+      job.addPending(task.index());
+    }
+    dropIfFinished(job);
+  }
+
+  @Override
+  public void observeUsage(TaskId task, Resources used, long nowMillis) {}
+
+  @Override
+  public final List<PlacementDecision> decide(long nowMillis, int limit) {
+    List<PlacementDecision> decisions = new ArrayList<>();
+    for (Job job : jobs.values()) {
+      if (decisions.size() >= limit) {
+        break;
+      }
+      if (job.hasPending()) {
+        int room = limit - decisions.size();
+        if (job.spec().kind() == WorkloadKind.GANG) {
+          startTogether(job, nowMillis, decisions);
+        } else {
+          startEach(job, nowMillis, room, decisions);
+        }
+      }
+    }
+    return decisions;
+  }
+
+  @Override
+  public final Optional<WaitReason> explain(String jobId, long nowMillis) {
+    Job job = jobs.get(jobId);
+    if (job == null || !job.hasPending()) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new WaitReason(
+            "no allowed worker has " + FeasibilityCheck.describe(job.spec().resources()) + " free",
+            "the end of running tasks, or a further worker"));
+  }
+
+  /** Chooses one of the workers for a task, empty if none has room. */
+  abstract Optional<WorkerState> choose(JobSpec spec, Collection<WorkerState> candidates);
+
+  private void startEach(Job job, long nowMillis, int room, List<PlacementDecision> decisions) {
+    int left = room;
+    for (int i = job.firstPending(); i >= 0 && left > 0; i = job.nextPending(i + 1)) {
+      Optional<WorkerState> worker = choose(job.spec(), workers.values());
+      if (worker.isEmpty()) {
+        return;
+      }
+      decisions.add(start(job, i, worker.get(), nowMillis));
+      left--;
+    }
+  }
+
+  private void startTogether(Job job, long nowMillis, List<PlacementDecision> decisions) {
+    List<PlacementDecision> starts = new ArrayList<>();
+    List<RunningTask> started = new ArrayList<>();
+    for (int i = job.firstPending(); i >= 0; i = job.nextPending(i + 1)) {
+      Optional<WorkerState> worker = choose(job.spec(), workers.values());
+      if (worker.isEmpty()) {
+        for (RunningTask task : started) {
+          release(task);
+          job.addPending(task.id().index());
+        }
+        return;
+      }
+      starts.add(start(job, i, worker.get(), nowMillis));
+      started.add(job.running(i).orElseThrow());
+    }
+    decisions.addAll(starts);
+  }
+
+  private PlacementDecision start(Job job, int index, WorkerState worker, long nowMillis) {
+    TaskId id = new TaskId(job.id(), index);
+    RunningTask task = new RunningTask(id, job, worker, job.spec().resources(), nowMillis);
+    worker.commit(task);
+    job.started(task);
+    return new PlacementDecision.Start(id, worker.id());
+  }
+
+  private void release(RunningTask task) {
+    task.worker().release(task);
+    task.job().ended(task);
+    dropIfGone(task.worker());
+  }
+
+  private void dropIfGone(WorkerState worker) {
+    if (worker.status() == WorkerStatus.LOST && worker.running().isEmpty()) {
+      workers.remove(worker.id());
+    }
+  }
+
+  private void dropIfFinished(Job job) {
+    if (job.isFinished()) {
+      jobs.remove(job.id());
+    }
+  }
+}
