--- /dev/null
+++ b/coordination/src/main/java/org/vanillacove/coordination/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** Changes of the configuration and the values in force. */
+package org.vanillacove.coordination.configuration;
--- /dev/null
+++ b/coordination/src/main/java/org/vanillacove/coordination/timeline/package-info.java
@@ -0,0 +1,2 @@
+/** The time line: events of all entry hosts in one order. */
+package org.vanillacove.coordination.timeline;
--- /dev/null
+++ b/protocol/src/main/java/org/vanillacove/protocol/configuration/ConfigurationText.java
@@ -0,0 +1,103 @@
+package org.vanillacove.protocol.configuration;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.NavigableSet;
+import java.util.Optional;
+import java.util.TreeSet;
+
+/** Compares and edits configuration documents as JSON text that passed its checks. */
+public final class ConfigurationText {
+  /** Parses and writes JSON. */
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  /** Text of the document that stands for no configuration yet. */
+  public static final String EMPTY = "{\"defaults\":{},\"exceptions\":[]}";
+
+  private ConfigurationText() {}
+
+  /**
+   * One difference between two documents.
+   *
+   * @param field JSON path of the field; exceptions are told apart by name
+   * @param before value in the first document, empty if it is not there
+   * @param after value in the second document, empty if it is not there
+   */
+  public record Change(String field, Optional<String> before, Optional<String> after) {
+    @Override
+    public String toString() {
+      return field + ": " + before.orElse("(none)") + " -> " + after.orElse("(none)");
+    }
+  }
+
+  /** Returns the differences between two documents, by field. */
+  public static List<Change> diff(String before, String after) {
+    List<Change> changes = new ArrayList<>();
+    collect("$", byName(parse(before)), byName(parse(after)), changes);
+    return changes;
+  }
+
+  /** Returns {@code document} with an exception added. */
+  public static String withException(String document, JsonNode exception) {
+    ObjectNode root = (ObjectNode) parse(document);
+    exceptions(root).add(exception);
+    return root.toString();
+  }
+
+  /** Returns {@code document} without the exception called {@code name}, empty if it has none. */
+  public static Optional<String> withoutException(String document, String name) {
+    ObjectNode root = (ObjectNode) parse(document);
+    ArrayNode exceptions = exceptions(root);
+    for (int i = 0; i < exceptions.size(); i++) {
+      if (exceptions.get(i).path("name").asText().equals(name)) {
+        exceptions.remove(i);
+        return Optional.of(root.toString());
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static ArrayNode exceptions(ObjectNode root) {
+    return root.get("exceptions") instanceof ArrayNode array ? array : root.putArray("exceptions");
+  }
+
+  private static void collect(String path, JsonNode before, JsonNode after, List<Change> changes) {
+    if (before.isObject() && after.isObject()) {
+      NavigableSet<String> names = new TreeSet<>();
+      before.fieldNames().forEachRemaining(names::add);
+      after.fieldNames().forEachRemaining(names::add);
+      for (String name : names) {
+        collect(path + "." + name, before.path(name), after.path(name), changes);
+      }
+    } else if (!before.equals(after)) {
+      changes.add(new Change(path, textOf(before), textOf(after)));
+    }
+  }
+
+  private static Optional<String> textOf(JsonNode node) {
+    return node.isMissingNode() ? Optional.empty() : Optional.of(node.toString());
+  }
+
+  private static JsonNode byName(JsonNode root) {
+    ObjectNode copy = JsonNodeFactory.instance.objectNode();
+    copy.setAll((ObjectNode) root);
+    ObjectNode named = copy.putObject("exceptions");
+    root.path("exceptions")
+        .forEach(exception -> named.set(exception.path("name").asText(), exception));
+    return copy;
+  }
+
+  private static JsonNode parse(String document) {
+    try {
+      return MAPPER.readTree(document);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a configuration that passed its checks is not JSON", e);
+    }
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/vanillacove/protocol/configuration/EffectiveConfiguration.java
@@ -0,0 +1,158 @@
+package org.vanillacove.protocol.configuration;
+
+import com.google.common.base.Ascii;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.vanillacove.protocol.job.JobDefaults;
+import org.vanillacove.state.api.LossPolicy;
+import org.vanillacove.state.api.PlacementSettings;
+import org.vanillacove.state.api.PriorityClass;
+import org.vanillacove.state.api.RerunPolicy;
+import org.vanillacove.state.api.Resources;
+import org.vanillacove.state.api.RoutingSettings;
+import org.vanillacove.state.api.WorkloadKind;
+
+/** The values of a configuration at one moment: defaults, changed by unexpired exceptions. */
+public final class EffectiveConfiguration {
+  /** Values that cover the whole fleet. */
+  private final FleetDefaults defaults;
+
+  /** Exceptions that have not expired. */
+  private final List<ExceptionRule> exceptions;
+
+  /** Evaluates {@code document} at {@code now}. */
+  public EffectiveConfiguration(ConfigurationDocument document, Instant now) {
+    this.defaults = document.defaults();
+    this.exceptions = document.exceptions().stream().filter(rule -> !rule.isExpired(now)).toList();
+  }
+
+  /** Returns the policy values of placement. */
+  public PlacementSettings placement() {
+    Map<String, Resources> quotas = new HashMap<>(defaults.placement().teamQuotas());
+    quotas.replaceAll(this::quota);
+    return new PlacementSettings(
+        quotas,
+        defaults.placement().fairShareHalfLifeMillis(),
+        defaults.placement().maxPreemptionsPerTask());
+  }
+
+  /** Returns the policy values of request routing on the entry hosts of a region. */
+  public RoutingSettings routing(String region) {
+    RoutingSettings base = defaults.routing();
+    return new RoutingSettings(
+        base.slotsPerBackend(),
+        base.connectionsPerBackend(),
+        (int) regional(ExceptionField.QUEUE_LIMIT, region, base.queueLimit()),
+        regional(ExceptionField.DEFAULT_DEADLINE, region, base.defaultDeadlineMillis()),
+        (int) regional(ExceptionField.RETRY_BUDGET, region, base.retryBudgetPercent()),
+        regional(ExceptionField.CROSS_REGION_PENALTY, region, base.crossRegionPenaltyMillis()),
+        base.slotLeaseMillis());
+  }
+
+  /** Returns the values of the fields that a team's job file leaves out. */
+  public JobDefaults jobDefaults(String team, WorkloadKind kind) {
+    JobDefaults base = defaults.workloads().get(kind);
+    ExceptionScope scope = workloadScope(team, kind);
+    return new JobDefaults(
+        choice(ExceptionField.WORKLOAD_PRIORITY, scope, PriorityClass.class, base.priority()),
+        choice(ExceptionField.WORKLOAD_RERUN, scope, RerunPolicy.class, base.rerun()),
+        choice(ExceptionField.WORKLOAD_LOSS, scope, LossPolicy.class, base.loss()));
+  }
+
+  /** Returns the most tasks that one job of a team may have in a class. */
+  public int maxTasksPerJob(String team, PriorityClass priority) {
+    ExceptionScope scope =
+        new ExceptionScope(
+            Optional.of(team), Optional.empty(), Optional.empty(), Optional.of(priority));
+    return (int)
+        amount(ExceptionField.MAX_TASKS_PER_JOB, scope, defaults.maxTasksPerJob().get(priority));
+  }
+
+  /** Returns the number of events of the time line that one host keeps. */
+  public int timelineEvents() {
+    return defaults.timelineEvents();
+  }
+
+  /** Returns the value of a field within a scope that names the parts it needs. */
+  public String valueOf(ExceptionField field, ExceptionScope scope) {
+    return switch (field) {
+      case QUOTA_CPU -> Long.toString(quotaOf(scope).cpuMillis());
+      case QUOTA_MEMORY -> Long.toString(quotaOf(scope).memoryMib());
+      case QUOTA_ACCELERATORS -> Integer.toString(quotaOf(scope).accelerators());
+      case MAX_TASKS_PER_JOB ->
+          Integer.toString(
+              maxTasksPerJob(scope.team().orElseThrow(), scope.priority().orElseThrow()));
+      case WORKLOAD_PRIORITY -> word(jobDefaultsOf(scope).priority());
+      case WORKLOAD_RERUN -> word(jobDefaultsOf(scope).rerun());
+      case WORKLOAD_LOSS -> word(jobDefaultsOf(scope).loss());
+      case QUEUE_LIMIT -> Integer.toString(routingOf(scope).queueLimit());
+      case DEFAULT_DEADLINE -> Long.toString(routingOf(scope).defaultDeadlineMillis());
+      case RETRY_BUDGET -> Integer.toString(routingOf(scope).retryBudgetPercent());
+      case CROSS_REGION_PENALTY -> Long.toString(routingOf(scope).crossRegionPenaltyMillis());
+    };
+  }
+
+  private Resources quotaOf(ExceptionScope scope) {
+    return placement().teamQuotas().getOrDefault(scope.team().orElseThrow(), Resources.NONE);
+  }
+
+  private JobDefaults jobDefaultsOf(ExceptionScope scope) {
+    return jobDefaults(scope.team().orElseThrow(), scope.workload().orElseThrow());
+  }
+
+  private RoutingSettings routingOf(ExceptionScope scope) {
+    return routing(scope.region().orElseThrow());
+  }
+
+  private static String word(Enum<?> constant) {
+    return Ascii.toLowerCase(constant.name()).replace('_', '-');
+  }
+
+  private Resources quota(String team, Resources base) {
+    ExceptionScope scope = teamScope(team);
+    return new Resources(
+        amount(ExceptionField.QUOTA_CPU, scope, base.cpuMillis()),
+        amount(ExceptionField.QUOTA_MEMORY, scope, base.memoryMib()),
+        (int) amount(ExceptionField.QUOTA_ACCELERATORS, scope, base.accelerators()));
+  }
+
+  private long regional(ExceptionField field, String region, long otherwise) {
+    ExceptionScope scope =
+        new ExceptionScope(
+            Optional.empty(), Optional.of(region), Optional.empty(), Optional.empty());
+    return amount(field, scope, otherwise);
+  }
+
+  private long amount(ExceptionField field, ExceptionScope scope, long otherwise) {
+    return find(field, scope)
+        .map(value -> value instanceof ExceptionValue.Amount amount ? amount.value() : otherwise)
+        .orElse(otherwise);
+  }
+
+  private <E extends Enum<E>> E choice(
+      ExceptionField field, ExceptionScope scope, Class<E> type, E otherwise) {
+    return find(field, scope)
+        .map(value -> Enum.valueOf(type, Ascii.toUpperCase(value.toString()).replace('-', '_')))
+        .orElse(otherwise);
+  }
+
+  private Optional<ExceptionValue> find(ExceptionField field, ExceptionScope scope) {
+    return exceptions.stream()
+        .filter(rule -> rule.field() == field && rule.scope().equals(scope))
+        .map(ExceptionRule::value)
+        .findFirst();
+  }
+
+  private static ExceptionScope teamScope(String team) {
+    return new ExceptionScope(
+        Optional.of(team), Optional.empty(), Optional.empty(), Optional.empty());
+  }
+
+  private static ExceptionScope workloadScope(String team, WorkloadKind kind) {
+    return new ExceptionScope(
+        Optional.of(team), Optional.empty(), Optional.of(kind), Optional.empty());
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/vanillacove/protocol/job/JobSpecLoader.java
@@ -0,0 +1,118 @@
+package org.vanillacove.protocol.job;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.base.Ascii;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.vanillacove.protocol.document.DocumentOutcome;
+import org.vanillacove.protocol.document.DocumentReader;
+import org.vanillacove.protocol.document.FieldFault;
+import org.vanillacove.state.api.JobSpec;
+import org.vanillacove.state.api.LossPolicy;
+import org.vanillacove.state.api.PlacementConstraints;
+import org.vanillacove.state.api.PriorityClass;
+import org.vanillacove.state.api.RerunPolicy;
+import org.vanillacove.state.api.Resources;
+import org.vanillacove.state.api.WorkloadKind;
+
+/** Reads job files; thread-safe. */
+public final class JobSpecLoader {
+  /** Reads and checks the JSON text. */
+  private final DocumentReader reader = new DocumentReader(JobSpecLoader.class, "job.schema.json");
+
+  /** Gives the values of fields that are left out. */
+  private final JobDefaults.Source defaults;
+
+  /** Creates a loader with the defaults that hold without a configuration. */
+  public JobSpecLoader() {
+    this((team, kind) -> JobDefaults.of(kind));
+  }
+
+  /** Creates a loader with defaults by team and kind of workload. */
+  public JobSpecLoader(JobDefaults.Source defaults) {
+    this.defaults = defaults;
+  }
+
+  /** Reads a job file from JSON text. */
+  public DocumentOutcome<JobSpec> load(String text) {
+    return reader.read(text).then(this::toSpec);
+  }
+
+  private DocumentOutcome<JobSpec> toSpec(JsonNode root) {
+    WorkloadKind kind = constant(WorkloadKind.class, root.path("kind").asText());
+    String team = root.path("team").asText();
+    JobDefaults values = defaults.of(team, kind);
+    JobSpec spec =
+        new JobSpec(
+            root.path("name").asText(),
+            team,
+            kind,
+            choice(PriorityClass.class, root.path("priority"), values.priority()),
+            root.path("tasks").asInt(1),
+            resources(root.path("resources")),
+            constraints(root.path("constraints")),
+            choice(RerunPolicy.class, root.path("rerun"), values.rerun()),
+            choice(LossPolicy.class, root.path("loss"), values.loss()),
+            root.path("checkpointable").asBoolean(false),
+            root.path("expectedRunMillis").asLong(0),
+            root.path("command").asText());
+    return DocumentOutcome.of(spec, contradictions(spec));
+  }
+
+  private static List<FieldFault> contradictions(JobSpec spec) {
+    List<FieldFault> faults = new ArrayList<>();
+    if (spec.kind() == WorkloadKind.SERVICE && spec.rerun() == RerunPolicy.AT_MOST_ONCE) {
+      faults.add(
+          new FieldFault("$.rerun", "a service is replaced when lost, so it must be \"rerun\""));
+    }
+    if (spec.kind() == WorkloadKind.SERVICE && spec.expectedRunMillis() > 0) {
+      faults.add(new FieldFault("$.expectedRunMillis", "a service is open-ended, leave it out"));
+    }
+    if (spec.kind() == WorkloadKind.GANG && spec.taskCount() < 2) {
+      faults.add(new FieldFault("$.tasks", "a gang has at least two tasks"));
+    }
+    if (spec.constraints().acceleratorKind().isPresent() && spec.resources().accelerators() == 0) {
+      faults.add(
+          new FieldFault(
+              "$.constraints.acceleratorKind", "names a kind, but no accelerators are asked for"));
+    }
+    return faults;
+  }
+
+  private static Resources resources(JsonNode node) {
+    return new Resources(
+        node.path("cpuMillis").asLong(),
+        node.path("memoryMib").asLong(),
+        node.path("accelerators").asInt(0));
+  }
+
+  private static PlacementConstraints constraints(JsonNode node) {
+    Map<String, String> labels = new HashMap<>();
+    node.path("labels").forEachEntry((name, value) -> labels.put(name, value.asText()));
+    return new PlacementConstraints(
+        names(node.path("regions")),
+        names(node.path("zones")),
+        names(node.path("racks")),
+        labels,
+        Optional.ofNullable(node.get("acceleratorKind")).map(JsonNode::asText));
+  }
+
+  private static Set<String> names(JsonNode node) {
+    Set<String> names = new HashSet<>();
+    node.forEach(name -> names.add(name.asText()));
+    return names;
+  }
+
+  private static <E extends Enum<E>> E choice(Class<E> type, JsonNode node, E otherwise) {
+    return node.isMissingNode() ? otherwise : constant(type, node.asText());
+  }
+
+  private static <E extends Enum<E>> E constant(Class<E> type, String text) {
+    return Enum.valueOf(type, Ascii.toUpperCase(text).replace('-', '_'));
+  }
+}
--- /dev/null
+++ b/protocol/src/main/java/org/vanillacove/protocol/job/package-info.java
@@ -0,0 +1,2 @@
+/** Job files. */
+package org.vanillacove.protocol.job;
--- /dev/null
+++ b/protocol/src/main/java/org/vanillacove/protocol/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of a daemon. */
+package org.vanillacove.protocol.settings;
