Add the daemon's options and the poll of backend servers

Cause: the daemon is assembled from parts that land one by one. Change: options of vanillacoved, a poller that keeps the newest list of backend servers.

--- /dev/null
+++ b/daemon/src/main/java/org/vanillacove/daemon/DaemonOptions.java
@@ -0,0 +1,65 @@
+package org.vanillacove.daemon;
+
+import java.io.File;
+import java.nio.file.Path;
+import java.util.Optional;
+import org.kohsuke.args4j.Option;
+
+/** Arguments of the daemon. */
+final class DaemonOptions {
+  /** File with the settings. */
+  @Option(name = "--settings", metaVar = "FILE", usage = "JSON file with the settings of this host")
+  private File settings;
+
+  /** Whether the settings are only checked. */
+  @Option(name = "--check", usage = "check the settings and exit", depends = "--settings")
+  private boolean check;
+
+  /** Whether a local cell is started. */
+  @Option(
+      name = "--local",
+      usage = "start a local cell with stand-ins for the platform",
+      forbids = "--settings")
+  private boolean local;
+
+  /** First port of the local cell. */
+  @Option(
+      name = "--port-base",
+      metaVar = "N",
+      usage = "first port of the local cell, 7400 if left out",
+      depends = "--local")
+  private int portBase = 7_400;
+
+  /** Whether help is printed. */
+  @Option(
+      name = "--help",
+      aliases = "-h",
+      usage = "print this help",
+      help = true)
+  private boolean help;
+
+  /** Returns the file with the settings, empty for a local cell. */
+  Optional<Path> settings() {
+    return Optional.ofNullable(settings).map(File::toPath);
+  }
+
+  /** Returns whether the settings are only checked. */
+  boolean isCheck() {
+    return check;
+  }
+
+  /** Returns whether a local cell is started. */
+  boolean isLocal() {
+    return local;
+  }
+
+  /** Returns the first port of the local cell. */
+  int portBase() {
+    return portBase;
+  }
+
+  /** Returns whether help is printed. */
+  boolean isHelp() {
+    return help;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillacove/daemon/host/BackendListPoller.java
@@ -0,0 +1,47 @@
+package org.vanillacove.daemon.host;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+import org.vanillacove.protocol.platform.HostList;
+import org.vanillacove.protocol.platform.ListedHost;
+import org.vanillacove.protocol.timer.TimerService;
+
+/** Keeps the newest list of backend servers that the platform gave; thread-safe. */
+public final class BackendListPoller implements Supplier<List<ListedHost>>, AutoCloseable {
+  /** Platform's list. */
+  private final HostList list;
+
+  /** Newest backend servers. */
+  private final AtomicReference<List<ListedHost>> backends = new AtomicReference<>(List.of());
+
+  /** Timer of the next fetch. */
+  private final TimerService.Subscription subscription;
+
+  /** Fetches the list now and then every {@code period}. */
+  public BackendListPoller(HostList list, TimerService timer, Duration period) {
+    this.list = list;
+    this.subscription = timer.every(period, this::fetch);
+    fetch();
+  }
+
+  @Override
+  public List<ListedHost> get() {
+    return backends.get();
+  }
+
+  @Override
+  public void close() {
+    subscription.cancel();
+  }
+
+  private void fetch() {
+    list.fetch().thenAccept(fetched -> fetched.ifPresent(this::take));
+  }
+
+  private void take(List<ListedHost> hosts) {
+    backends.set(
+        hosts.stream().filter(host -> host.role() == ListedHost.Role.BACKEND).toList());
+  }
+}
