--- a/state/src/main/java/org/vanillacove/state/placement/ArrivalOrderPlacer.java
+++ b/state/src/main/java/org/vanillacove/state/placement/ArrivalOrderPlacer.java
@@ -83,9 +83,10 @@
   @Override
   public final void restore(TaskId task, String workerId, long startedAtMillis) {
     Job job = jobs.get(task.jobId());
-    WorkerState worker = workers.get(workerId);
-    if (job != null && worker != null && job.running(task.index()).isEmpty()) {
-      start(job, task.index(), worker, startedAtMillis);
+    if (job != null && job.running(task.index()).isEmpty()) {
+      WorkerState worker = workers.get(workerId);
+      boolean known = worker != null;
+      start(job, task.index(), known ? worker : WorkerState.unknown(workerId), startedAtMillis);
     }
   }
 
@@ -189,7 +190,7 @@
 
   private void dropIfGone(WorkerState worker) {
     if (worker.status() == WorkerStatus.LOST && worker.running().isEmpty()) {
-      workers.remove(worker.id());
+      workers.remove(worker.id(), worker);
     }
   }
 
--- a/state/src/main/java/org/vanillacove/state/placement/Job.java
+++ b/state/src/main/java/org/vanillacove/state/placement/Job.java
@@ -3,9 +3,12 @@
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.vanillacove.state.api.JobSpec;
+import org.vanillacove.state.api.RerunPolicy;
 
 /** A job with the state of its tasks. */
 final class Job {
@@ -24,6 +27,30 @@
   /** Tasks that hold capacity, by index. */
   private final Map<Integer, RunningTask> running = new HashMap<>(2);
 
+  /** Times a task was preempted, by index. */
+  private final Map<Integer, Integer> preemptions = new HashMap<>(0);
+
+  /** Workers on which tasks failed since the last success. */
+  private final Set<String> failedWorkers = new LinkedHashSet<>(0);
+
+  /** Order of arrival. */
+  private long sequence;
+
+  /** Place in the queue as a time in milliseconds; the earliest goes first. */
+  private long rankMillis;
+
+  /** Lane it waits in, null if in none. */
+  private Lane lane;
+
+  /** Failures since the last success. */
+  private int failures;
+
+  /** Time before which no task starts, in milliseconds. */
+  private long notBeforeMillis;
+
+  /** Whether the rest of a gang is being stopped for a common restart. */
+  private boolean restarting;
+
   /** Whether the job was cancelled. */
   private boolean cancelled;
 
@@ -46,6 +73,40 @@
     return submittedAtMillis;
   }
 
+  long sequence() {
+    return sequence;
+  }
+
+  long rankMillis() {
+    return rankMillis;
+  }
+
+  void setRank(long sequence, long rankMillis) {
+    this.sequence = sequence;
+    this.rankMillis = rankMillis;
+  }
+
+  int compareRank(Job other) {
+    int order = Long.compare(rankMillis, other.rankMillis);
+    return order != 0 ? order : Long.compare(sequence, other.sequence);
+  }
+
+  boolean isIn(Lane candidate) {
+    return lane == candidate;
+  }
+
+  Optional<Lane> lane() {
+    return Optional.ofNullable(lane);
+  }
+
+  void enterLane(Lane entered) {
+    lane = entered;
+  }
+
+  void leaveLane() {
+    lane = null;
+  }
+
   boolean hasPending() {
     return !cancelled && !pending.isEmpty();
   }
@@ -64,10 +125,6 @@
     return pending.nextSetBit(from);
   }
 
-  boolean isPending(int index) {
-    return pending.get(index);
-  }
-
   void addPending(int index) {
     pending.set(index);
   }
@@ -95,6 +152,61 @@
     running.remove(task.id().index());
   }
 
+  int preemptions(int index) {
+    return preemptions.getOrDefault(index, 0);
+  }
+
+  void countPreemption(int index) {
+    preemptions.merge(index, 1, Integer::sum);
+  }
+
+  /** Returns whether a running task may be stopped and go on later. */
+  boolean isStoppable() {
+    return spec.checkpointable() || spec.rerun() == RerunPolicy.RERUN;
+  }
+
+  Set<String> failedWorkers() {
+    return failedWorkers;
+  }
+
+  int failures() {
+    return failures;
+  }
+
+  long notBeforeMillis() {
+    return notBeforeMillis;
+  }
+
+  /** Takes note of a failure on a worker. */
+  void countFailure(String workerId) {
+    failures++;
+    failedWorkers.add(workerId);
+  }
+
+  /** Lets no task start before a time. */
+  void delayUntil(long millis) {
+    notBeforeMillis = millis;
+  }
+
+  /** Takes note that an attempt never took effect on a worker. */
+  void avoid(String workerId) {
+    failedWorkers.add(workerId);
+  }
+
+  /** Forgets failures after a success. */
+  void succeeded() {
+    failures = 0;
+    failedWorkers.clear();
+  }
+
+  boolean isRestarting() {
+    return restarting;
+  }
+
+  void setRestarting(boolean restarting) {
+    this.restarting = restarting;
+  }
+
   boolean isCancelled() {
     return cancelled;
   }
--- a/state/src/main/java/org/vanillacove/state/placement/RunningTask.java
+++ b/state/src/main/java/org/vanillacove/state/placement/RunningTask.java
@@ -20,6 +20,12 @@
   /** Time of the start in milliseconds. */
   private final long startedAtMillis;
 
+  /** Highest use seen. */
+  private Resources peak = Resources.NONE;
+
+  /** Last use seen beyond what is held. */
+  private Resources overuse = Resources.NONE;
+
   /** Whether a stop in favour of other work was decided. */
   private boolean preempting;
 
@@ -51,11 +57,33 @@
     return startedAtMillis;
   }
 
+  Resources peak() {
+    return peak;
+  }
+
+  Resources overuse() {
+    return overuse;
+  }
+
+  /** Takes note of the resources in use now. */
+  void observe(Resources used) {
+    peak =
+        new Resources(
+            Math.max(peak.cpuMillis(), used.cpuMillis()),
+            Math.max(peak.memoryMib(), used.memoryMib()),
+            Math.max(peak.accelerators(), used.accelerators()));
+    overuse =
+        new Resources(
+            Math.max(0, used.cpuMillis() - committed.cpuMillis()),
+            Math.max(0, used.memoryMib() - committed.memoryMib()),
+            0);
+  }
+
   boolean isPreempting() {
     return preempting;
   }
 
-  void markPreempting() {
-    preempting = true;
+  void setPreempting(boolean preempting) {
+    this.preempting = preempting;
   }
 }
--- a/state/src/test/java/org/vanillacove/state/placement/ArrivalOrderPlacerTest.java
+++ b/state/src/test/java/org/vanillacove/state/placement/ArrivalOrderPlacerTest.java
@@ -15,6 +15,7 @@
 import org.vanillacove.state.api.WorkerStatus;
 import org.vanillacove.state.api.WorkloadKind;
 
+/** Tests the placers that go by order of arrival. */
 final class ArrivalOrderPlacerTest {
   static Stream<Arguments> placers() {
     Supplier<Placer> first = FirstFitPlacer::new;
@@ -26,8 +27,7 @@
   @MethodSource("placers")
   void startsWhatFitsAndWaitsForTheRest(String name, Supplier<Placer> supplier) {
     Placer placer = twoWorkers(supplier);
-    placer.submit(
-        "a", Specs.job(WorkloadKind.BATCH, PriorityClass.NORMAL, 5, Specs.size(4, 4)), 0);
+    placer.submit("a", Specs.job(WorkloadKind.BATCH, PriorityClass.NORMAL, 5, Specs.size(4, 4)), 0);
     assertThat(placer.decide(0, 100)).hasSize(4);
     assertThat(placer.explain("a", 0)).isPresent();
     placer.taskEnded(new TaskId("a", 0), TaskOutcome.SUCCEEDED, 1);
