--- /dev/null
+++ b/coordination/src/main/java/org/vanillacove/coordination/timer/package-info.java
@@ -0,0 +1,2 @@
+/** The timer service that runs on the clocks of the machine. */
+package org.vanillacove.coordination.timer;
--- /dev/null
+++ b/transport/src/main/java/org/vanillacove/transport/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's log, host list and workers over HTTP. */
+package org.vanillacove.transport.platform;
