--- /dev/null
+++ b/cli/src/main/java/org/vanillacove/cli/CommandTable.java
@@ -0,0 +1,76 @@
+package org.vanillacove.cli;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/** All commands by name. */
+final class CommandTable {
+  /** Commands by their words, in the order of help. */
+  private static final Map<String, Entry> COMMANDS = new LinkedHashMap<>();
+
+  static {
+    add("job submit", "submit a job", JobCommands.Submit::new);
+    add("job list", "list jobs", JobCommands.ListJobs::new);
+    add("job show", "show a job and its tasks", JobCommands.Show::new);
+    add("job cancel", "cancel a job", JobCommands.Cancel::new);
+    add("job wait", "wait until a job has ended or a service runs", JobCommands.Wait::new);
+    add("worker list", "list workers", CellCommands.ListWorkers::new);
+    add("worker drain", "give no new tasks", () -> new CellCommands.ChangeWorker("draining"));
+    add("worker activate", "give new tasks", () -> new CellCommands.ChangeWorker("active"));
+    add("cell status", "show the cell", CellCommands.Status::new);
+    add("cell declare-lost", "declare a region or zone lost", CellCommands.DeclareLost::new);
+    add("config show", "show the configuration", ConfigurationCommands.Show::new);
+    add("config put", "put a document in force", ConfigurationCommands.Put::new);
+    add("config check", "check a document offline", ConfigurationCommands.Check::new);
+    add("config history", "list versions", ConfigurationCommands.History::new);
+    add("config diff", "compare two versions", ConfigurationCommands.Diff::new);
+    add("config rollback", "go back to a version", ConfigurationCommands.Rollback::new);
+    add("exception list", "list exceptions", ExceptionCommands.ListExceptions::new);
+    add("exception add", "add an exception", ExceptionCommands.Add::new);
+    add("exception remove", "remove an exception", ExceptionCommands.Remove::new);
+    add("timeline", "show the events of all hosts", TimelineCommand::new);
+    add("token create", "make a token for the settings", TokenCommand::new);
+    add("completion bash", "print completion for bash", CompletionCommand::new);
+  }
+
+  private CommandTable() {}
+
+  /**
+   * A command.
+   *
+   * @param name its words
+   * @param summary what it does
+   * @param factory makes it
+   */
+  record Entry(String name, String summary, Supplier<Command> factory) {}
+
+  /** Returns all commands. */
+  static List<Entry> all() {
+    return List.copyOf(COMMANDS.values());
+  }
+
+  /** Returns the command that {@code words} begin with. */
+  static Optional<Entry> find(List<String> words) {
+    return COMMANDS.values().stream()
+        .filter(entry -> startsWith(words, List.of(entry.name().split(" ", -1))))
+        .findFirst();
+  }
+
+  /** Returns the commands whose first word is {@code group}. */
+  static List<Entry> group(String group) {
+    return COMMANDS.values().stream()
+        .filter(entry -> entry.name().startsWith(group + " "))
+        .toList();
+  }
+
+  private static boolean startsWith(List<String> words, List<String> prefix) {
+    return words.size() >= prefix.size() && words.subList(0, prefix.size()).equals(prefix);
+  }
+
+  private static void add(String name, String summary, Supplier<Command> factory) {
+    COMMANDS.put(name, new Entry(name, summary, factory));
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/vanillacove/cli/OperatorClient.java
@@ -0,0 +1,123 @@
+package org.vanillacove.cli;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.base.Throwables;
+import com.google.common.net.HostAndPort;
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.UnprocessedRequestException;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.client.WebClientBuilder;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import java.io.File;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import javax.net.ssl.SSLException;
+import org.vanillacove.transport.operator.message.OperatorJson;
+
+/** Sends requests to the operators' interface of an entry host. */
+final class OperatorClient implements AutoCloseable {
+  /** Prefix of the paths of all resources. */
+  private static final String PREFIX = "/api/v1";
+
+  /** Longest wait for an answer. */
+  private static final Duration TIMEOUT = Duration.ofSeconds(70);
+
+  /** Longest wait for a connection. */
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(5);
+
+  /** Longest answer in bytes. */
+  private static final long MAX_ANSWER_BYTES = 64L << 20;
+
+  /** Owns the connections. */
+  private final ClientFactory factory;
+
+  /** Sends requests. */
+  private final WebClient client;
+
+  /** Token, empty if none is sent. */
+  private final Optional<String> token;
+
+  /** Creates a client of the host at {@code server}. */
+  OperatorClient(HostAndPort server, Optional<String> token, Optional<File> trusted) {
+    this.token = token;
+    var builder = ClientFactory.builder().connectTimeout(CONNECT_TIMEOUT);
+    trusted.ifPresent(file -> builder.tlsCustomizer(tls -> tls.trustManager(file)));
+    this.factory = builder.build();
+    WebClientBuilder web =
+        WebClient.builder((trusted.isPresent() ? "https://" : "http://") + server);
+    this.client =
+        web.factory(factory).responseTimeout(TIMEOUT).maxResponseLength(MAX_ANSWER_BYTES).build();
+  }
+
+  /** Reads a resource. */
+  ClientOutcome get(String path) {
+    return send(HttpMethod.GET, path, "");
+  }
+
+  /** Writes a resource. */
+  ClientOutcome put(String path, String body) {
+    return send(HttpMethod.PUT, path, body);
+  }
+
+  /** Asks for a change of a resource. */
+  ClientOutcome post(String path, String body) {
+    return send(HttpMethod.POST, path, body);
+  }
+
+  /** Removes a resource. */
+  ClientOutcome delete(String path) {
+    return send(HttpMethod.DELETE, path, "");
+  }
+
+  @Override
+  public void close() {
+    factory.close();
+  }
+
+  private ClientOutcome send(HttpMethod method, String path, String body) {
+    RequestHeadersBuilder headers = RequestHeaders.builder(method, PREFIX + path);
+    token.ifPresent(text -> headers.set(HttpHeaderNames.AUTHORIZATION, "Bearer " + text));
+    if (!body.isEmpty()) {
+      headers.contentType(MediaType.JSON);
+    }
+    try {
+      AggregatedHttpResponse answer =
+          client
+              .execute(
+                  HttpRequest.of(
+                      headers.build(), com.linecorp.armeria.common.HttpData.ofUtf8(body)))
+              .aggregate()
+              .join();
+      return parse(answer);
+    } catch (CompletionException e) {
+      return failed(Throwables.getRootCause(e), e.getCause());
+    }
+  }
+
+  private static ClientOutcome parse(AggregatedHttpResponse answer) {
+    try {
+      return new ClientOutcome.Answered(
+          answer.status().code(), OperatorJson.MAPPER.readTree(answer.contentUtf8()));
+    } catch (JsonProcessingException e) {
+      return new ClientOutcome.NoAnswer(
+          "status " + answer.status() + " with a body that is not JSON");
+    }
+  }
+
+  private static ClientOutcome failed(Throwable root, Throwable cause) {
+    String reason = root.getClass().getSimpleName() + ": " + root.getMessage();
+    boolean notSent =
+        cause instanceof UnprocessedRequestException
+            || root instanceof ConnectException
+            || root instanceof SSLException;
+    return notSent ? new ClientOutcome.NotSent(reason) : new ClientOutcome.NoAnswer(reason);
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/vanillacove/cli/TimelineCommand.java
@@ -0,0 +1,162 @@
+package org.vanillacove.cli;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.google.common.base.Joiner;
+import com.google.common.net.UrlEscapers;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.time.DateTimeException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.kohsuke.args4j.Option;
+import org.vanillacove.protocol.timeline.TimelineEvent;
+import org.vanillacove.transport.operator.message.OperatorJson;
+import org.vanillacove.transport.operator.message.TimelineMessage;
+
+/** Shows the events of all hosts in one order. */
+final class TimelineCommand extends Command {
+  /** Pause between two questions in follow mode. */
+  private static final Duration PAUSE = Duration.ofMillis(500);
+
+  /** Job that events must be about. */
+  @Option(name = "--job", metaVar = "ID", usage = "events about a job")
+  private String job;
+
+  /** Request that events must be about. */
+  @Option(name = "--request", metaVar = "ID", usage = "events about a guest's request")
+  private String request;
+
+  /** Worker that events must be about. */
+  @Option(name = "--worker", metaVar = "ID", usage = "events about a worker")
+  private String worker;
+
+  /** Kinds of event. */
+  @Option(name = "--kind", metaVar = "KIND,...", usage = "events of these kinds")
+  private String kinds;
+
+  /** Time of the first event. */
+  @Option(name = "--from", metaVar = "TIME", usage = "events from then on, ISO 8601 in UTC")
+  private String from;
+
+  /** Time of the last event. */
+  @Option(name = "--until", metaVar = "TIME", usage = "events before then")
+  private String until;
+
+  /** Most events. */
+  @Option(name = "--limit", metaVar = "N", usage = "the newest N events")
+  private int limit = 1_000;
+
+  /** Whether to go on. */
+  @Option(name = "--follow", usage = "go on with new events until interrupted")
+  private boolean follow;
+
+  /** File for the report. */
+  @Option(name = "--html", metaVar = "FILE", usage = "write a report as one HTML file")
+  private String html;
+
+  /** Newest sequence number shown, by host. */
+  private final Map<String, Long> shown = new TreeMap<>();
+
+  @Override
+  int run(CommandContext context) {
+    Optional<String> query = query(context);
+    if (query.isEmpty()) {
+      return ExitCode.BAD_INPUT;
+    }
+    if (html != null) {
+      return report(context, query.get());
+    }
+    int code = print(context, query.get());
+    while (follow && code == ExitCode.DONE && context.environment().pause().await(PAUSE)) {
+      code = print(context, query.get());
+    }
+    return code;
+  }
+
+  private int print(CommandContext context, String query) {
+    String after =
+        shown.isEmpty()
+            ? ""
+            : "&after=" + escape(Joiner.on(',').withKeyValueSeparator('=').join(shown));
+    ClientOutcome outcome = context.client().get("/timeline" + query + after);
+    if (!(outcome instanceof ClientOutcome.Answered answered) || !answered.isDone()) {
+      return context.show(outcome, new TypeReference<TimelineMessage>() {}, message -> {});
+    }
+    TimelineMessage message =
+        OperatorJson.MAPPER.convertValue(answered.body(), TimelineMessage.class);
+    for (TimelineEvent event : message.events()) {
+      shown.merge(event.hostId(), event.sequence(), Math::max);
+      context.print(context.isJson() ? CommandContext.write(event, true) : line(event));
+    }
+    if (!follow) {
+      message.missing().forEach(host -> context.note("host " + host + " did not answer"));
+    }
+    return ExitCode.DONE;
+  }
+
+  private int report(CommandContext context, String query) {
+    ClientOutcome outcome = context.client().get("/timeline" + query);
+    if (!(outcome instanceof ClientOutcome.Answered answered) || !answered.isDone()) {
+      return context.show(outcome, new TypeReference<TimelineMessage>() {}, message -> {});
+    }
+    TimelineMessage message =
+        OperatorJson.MAPPER.convertValue(answered.body(), TimelineMessage.class);
+    try {
+      Files.writeString(
+          context.environment().directory().resolve(html), TimelineReport.html(message));
+    } catch (IOException e) {
+      return context.fail(ExitCode.BAD_INPUT, html + ": cannot be written");
+    }
+    context.print(html + ": " + message.events().size() + " events");
+    return ExitCode.DONE;
+  }
+
+  private Optional<String> query(CommandContext context) {
+    List<String> about = new ArrayList<>();
+    for (String id : new String[] {job, request, worker}) {
+      if (id != null) {
+        about.add(id);
+      }
+    }
+    StringBuilder query = new StringBuilder("?limit=" + limit);
+    if (!about.isEmpty()) {
+      query.append("&about=").append(escape(String.join(",", about)));
+    }
+    if (kinds != null) {
+      query.append("&kind=").append(escape(kinds));
+    }
+    try {
+      if (from != null) {
+        query.append("&from=").append(Instant.parse(from).toEpochMilli());
+      }
+      if (until != null) {
+        query.append("&until=").append(Instant.parse(until).toEpochMilli());
+      }
+    } catch (DateTimeException e) {
+      context.fail(ExitCode.BAD_INPUT, "--from, --until: " + e.getMessage());
+      return Optional.empty();
+    }
+    return Optional.of(query.toString());
+  }
+
+  private static String line(TimelineEvent event) {
+    return Instant.ofEpochMilli(event.atMillis())
+        + " "
+        + event.hostId()
+        + " "
+        + event.kind()
+        + " "
+        + event.subject()
+        + ": "
+        + event.text();
+  }
+
+  private static String escape(String text) {
+    return UrlEscapers.urlFormParameterEscaper().escape(text);
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/vanillacove/transport/operator/message/ConfigurationMessage.java
@@ -0,0 +1,11 @@
+package org.vanillacove.transport.operator.message;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * A configuration document with its version.
+ *
+ * @param version version of the document
+ * @param document the document
+ */
+public record ConfigurationMessage(long version, JsonNode document) {}
--- /dev/null
+++ b/transport/src/main/java/org/vanillacove/transport/operator/message/OperatorJson.java
@@ -0,0 +1,26 @@
+package org.vanillacove.transport.operator.message;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
+
+/** Writes and reads the bodies of the operators' interface. */
+public final class OperatorJson {
+  /** Mapper of all bodies; absent values are left out, unknown fields are passed over. */
+  public static final ObjectMapper MAPPER =
+      JsonMapper.builder()
+          .addModule(new Jdk8Module())
+          .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+          .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
+          .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+          .defaultPropertyInclusion(
+              JsonInclude.Value.construct(
+                  JsonInclude.Include.NON_ABSENT, JsonInclude.Include.ALWAYS))
+          .build();
+
+  private OperatorJson() {}
+}
--- /dev/null
+++ b/transport/src/main/java/org/vanillacove/transport/operator/message/package-info.java
@@ -0,0 +1,2 @@
+/** JSON bodies of the operators' interface, shared by server and command line. */
+package org.vanillacove.transport.operator.message;
--- /dev/null
+++ b/transport/src/main/java/org/vanillacove/transport/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' interface over HTTP with JSON. */
+package org.vanillacove.transport.operator;
