--- a/coordination/src/main/java/org/vanillacove/coordination/session/SessionHolder.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/session/SessionHolder.java
@@ -260,7 +260,7 @@
       }
       if (report.ended().isPresent()) {
         ended.putIfAbsent(
-            new Attempt(report.task(), report.attempt()),
+            new Attempt(workerId, report.task(), report.attempt()),
             new Ended(message, ticks, timer.monotonicMillis()));
         usage.remove(report.task());
       } else if (known) {
@@ -271,7 +271,7 @@
     }
     expected.forEach(
         (task, attempt) -> {
-          if (!seen.contains(task) && !ended.containsKey(new Attempt(task, attempt))) {
+          if (!seen.contains(task) && !ended.containsKey(new Attempt(workerId, task, attempt))) {
             differences.addMissing(
                 AttemptMessage.newBuilder()
                     .setWorkerId(workerId)
@@ -342,7 +342,8 @@
     boolean old = timer.monotonicMillis() - entry.atMillis > timings.hostRemoval().toMillis();
     return task.isEmpty()
         || task.get().attempt() > message.getAttempt()
-        || (task.get().attempt() == message.getAttempt() && !task.get().isRunning())
+        || (task.get().attempt() == message.getAttempt()
+            && !task.get().workerId().equals(Optional.of(message.getWorkerId())))
         || (task.get().attempt() < message.getAttempt() && old);
   }
 
@@ -393,12 +394,13 @@
   }
 
   /**
-   * An attempt of a task.
+   * An attempt of a task; two leaders may give one number to attempts on two workers.
    *
+   * @param workerId worker of the attempt
    * @param task the task
    * @param number number of the attempt
    */
-  private record Attempt(TaskId task, int number) {}
+  private record Attempt(String workerId, TaskId task, int number) {}
 
   /**
    * An ended attempt to be reported.
--- a/coordination/src/main/java/org/vanillacove/coordination/stream/StreamReader.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/stream/StreamReader.java
@@ -55,6 +55,9 @@
   /** Whether the state has to be loaded anew. */
   private boolean diverged;
 
+  /** Offset of the newest digest that differed; the state is loaded anew once for each. */
+  private long comparedThrough = -1;
+
   /** Monotonic time at which the newest read that saw the end of the log began, in milliseconds. */
   private volatile long freshAsOfMillis = Long.MIN_VALUE / 2;
 
@@ -158,7 +161,9 @@
   private void compare(RecordEnvelope envelope) {
     if (envelope.record() instanceof CellRecord.StateDigest digest) {
       OptionalLong own = store.digestAt(digest.throughOffset());
-      if (own.isPresent() && own.getAsLong() != digest.digest()) {
+      boolean differs = own.isPresent() && own.getAsLong() != digest.digest();
+      if (differs && digest.throughOffset() > comparedThrough) {
+        comparedThrough = digest.throughOffset();
         LOGGER.atSevere().log(
             "stream: state at %d differs from that of %s, loading it anew.",
             digest.throughOffset(), envelope.author());
--- /dev/null
+++ b/coordination/src/test/java/org/vanillacove/coordination/stream/StreamReaderTest.java
@@ -0,0 +1,83 @@
+package org.vanillacove.coordination.stream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.vanillacove.coordination.api.CellTimings;
+import org.vanillacove.protocol.record.RecordCodec;
+import org.vanillacove.standin.memory.ManualTimerService;
+import org.vanillacove.standin.memory.MemoryLog;
+import org.vanillacove.state.api.CellRecord;
+import org.vanillacove.state.api.RecordEnvelope;
+import org.vanillacove.state.cell.CellState;
+import org.vanillacove.state.cell.FoldOutcome;
+
+/** Tests {@link StreamReader}. */
+class StreamReaderTest {
+  private final MemoryLog log = new MemoryLog();
+  private final ManualTimerService timer = new ManualTimerService(0);
+  private final CellStore store = new CellStore();
+  private final StreamReader reader = new StreamReader(log, store, timer, CellTimings.DEFAULTS);
+  private int reloads;
+
+  @Test
+  void differentDigestLoadsTheStateAnew() {
+    countReloads();
+    fillUpToDigest();
+    long own = store.digestAt(CellStore.DIGEST_INTERVAL - 1).orElseThrow();
+    append(new CellRecord.StateDigest(CellStore.DIGEST_INTERVAL - 1, own + 1), 10_000);
+    timer.advance(1_000);
+
+    assertThat(reloads).isEqualTo(1);
+    assertThat((long) store.read(CellState::nextOffset)).isEqualTo(log.endOffset());
+  }
+
+  @Test
+  void equalDigestChangesNothing() {
+    countReloads();
+    fillUpToDigest();
+    long own = store.digestAt(CellStore.DIGEST_INTERVAL - 1).orElseThrow();
+    append(new CellRecord.StateDigest(CellStore.DIGEST_INTERVAL - 1, own), 10_000);
+    timer.advance(1_000);
+
+    assertThat(reloads).isZero();
+  }
+
+  @Test
+  void unreadableRecordIsPassedOver() {
+    log.append(List.of(ByteString.copyFromUtf8("not a record")));
+    append(new CellRecord.LeaderClaimed("h1"), 1);
+    reader.start();
+
+    assertThat(store.epoch()).isEqualTo(1);
+  }
+
+  private void fillUpToDigest() {
+    for (int i = 1; i <= CellStore.DIGEST_INTERVAL; i++) {
+      append(new CellRecord.ConfigurationChanged(0, "{}", "op", "why"), i);
+    }
+    reader.start();
+    timer.advance(1_000);
+  }
+
+  private void append(CellRecord record, long sequence) {
+    long epoch = record instanceof CellRecord.LeaderClaimed ? 1 : 0;
+    log.append(
+        List.of(RecordCodec.encode(new RecordEnvelope("h1-x:" + sequence, epoch, "h1", record))));
+  }
+
+  private void countReloads() {
+    store.addListener(
+        new FoldListener() {
+          @Override
+          public void folded(long offset, RecordEnvelope envelope, FoldOutcome outcome) {}
+
+          @Override
+          public void reloaded() {
+            reloads++;
+          }
+        });
+  }
+}
