--- a/bench/src/main/java/org/vanillacove/bench/BenchMain.java
+++ b/bench/src/main/java/org/vanillacove/bench/BenchMain.java
@@ -9,6 +9,7 @@
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
 import org.vanillacove.bench.faults.FaultsBench;
+import org.vanillacove.bench.recovery.RecoveryBench;
 
 /** Runs a bench by name and prints its figures as one JSON object. */
 public final class BenchMain {
@@ -17,6 +18,7 @@
 
   static {
     BENCHES.put("faults", FaultsBench::new);
+    BENCHES.put("recovery", RecoveryBench::new);
   }
 
   /** Name of the bench. */
--- /dev/null
+++ b/bench/src/main/java/org/vanillacove/bench/recovery/package-info.java
@@ -0,0 +1,2 @@
+/** Measures takeover, restore and what a start costs the log. */
+package org.vanillacove.bench.recovery;
