--- a/transport/src/main/java/org/vanillacove/transport/peer/NettyPeerLink.java
+++ b/transport/src/main/java/org/vanillacove/transport/peer/NettyPeerLink.java
@@ -16,6 +16,7 @@
 import org.vanillacove.protocol.peer.PeerChannel;
 import org.vanillacove.protocol.peer.PeerLink;
 import org.vanillacove.protocol.timer.TimerService;
+import org.vanillacove.transport.security.ReloadingTlsKeys;
 
 /**
  * The link between entry hosts over TCP. A message to a peer without a connection, over the frame
@@ -68,7 +69,24 @@
     this(settings, timer, registry, random, channel -> {}, channel -> {});
   }
 
-  NettyPeerLink(
+  /** Starts a link with TLS, where both ends must show a certificate. */
+  public NettyPeerLink(
+      PeerLinkSettings settings,
+      TimerService timer,
+      MeterRegistry registry,
+      Supplier<Random> random,
+      ReloadingTlsKeys keys) {
+    this(
+        settings,
+        timer,
+        registry,
+        random,
+        channel -> channel.pipeline().addLast(keys.peerServerContext().newHandler(channel.alloc())),
+        channel ->
+            channel.pipeline().addLast(keys.peerClientContext().newHandler(channel.alloc())));
+  }
+
+  private NettyPeerLink(
       PeerLinkSettings settings,
       TimerService timer,
       MeterRegistry registry,
--- /dev/null
+++ b/transport/src/main/java/org/vanillacove/transport/security/package-info.java
@@ -0,0 +1,2 @@
+/** TLS keys from PEM files, reloaded when they are rotated. */
+package org.vanillacove.transport.security;
