--- a/bench/src/main/java/org/vanillacove/bench/BenchMain.java
+++ b/bench/src/main/java/org/vanillacove/bench/BenchMain.java
@@ -8,12 +8,19 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
+import org.vanillacove.bench.placement.PlacementBench;
+import org.vanillacove.bench.policy.PolicyBench;
 
 /** Runs a bench by name and prints its figures as one JSON object. */
 public final class BenchMain {
   /** Benches by name. */
   private static final Map<String, Supplier<Bench>> BENCHES = new TreeMap<>();
 
+  static {
+    BENCHES.put("placement", PlacementBench::new);
+    BENCHES.put("policy", PolicyBench::new);
+  }
+
   /** Name of the bench. */
   @Argument(required = true, metaVar = "NAME", usage = "name of the bench")
   private String name;
--- /dev/null
+++ b/bench/src/main/java/org/vanillacove/bench/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Speed of placement decisions. */
+package org.vanillacove.bench.placement;
--- /dev/null
+++ b/bench/src/main/java/org/vanillacove/bench/policy/DayFigures.java
@@ -0,0 +1,132 @@
+package org.vanillacove.bench.policy;
+
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import org.HdrHistogram.Histogram;
+import org.vanillacove.state.api.PriorityClass;
+import org.vanillacove.state.api.TaskId;
+import org.vanillacove.state.api.TaskOutcome;
+
+/** Waiting times and lost work of one run. */
+final class DayFigures {
+  /** Milliseconds in a second. */
+  private static final double SECOND_MILLIS = 1_000;
+
+  /** Waits from submission to first start by class, in milliseconds. */
+  private final Map<PriorityClass, Histogram> waits = new EnumMap<>(PriorityClass.class);
+
+  /** Tasks that have started. */
+  private final Set<TaskId> started = new HashSet<>();
+
+  /** Sum of all waits in milliseconds. */
+  private double waitSum;
+
+  /** Number of waits. */
+  private long waitCount;
+
+  /** Work done in core milliseconds. */
+  private double done;
+
+  /** Work lost to preemption and failure in core milliseconds. */
+  private double wasted;
+
+  /** Tasks that never started. */
+  private long neverStarted;
+
+  /** Starts that passed the capacity of a worker. */
+  private long overCapacity;
+
+  /** Starts of tasks that were running. */
+  private long duplicates;
+
+  DayFigures() {
+    for (PriorityClass priority : PriorityClass.values()) {
+      waits.put(priority, new Histogram(3));
+    }
+  }
+
+  void started(PlannedJob job, TaskId task, long now) {
+    if (started.add(task)) {
+      record(job, now - job.atMillis());
+    }
+  }
+
+  /** Counts tasks that never started as waits up to the end. */
+  void closeWaits(PlannedJob job, long end) {
+    for (int i = 0; i < job.spec().taskCount(); i++) {
+      if (started.add(new TaskId(job.id(), i))) {
+        neverStarted++;
+        record(job, end - job.atMillis());
+      }
+    }
+  }
+
+  void ended(PlannedJob job, TaskId task, TaskOutcome outcome, long ran, boolean keeps) {
+    double work = (double) ran * job.spec().resources().cpuMillis();
+    done += work;
+    boolean lost =
+        switch (outcome) {
+          case PREEMPTED, FAILED, LOST, UNKNOWN -> true;
+          case SUCCEEDED, CANCELLED, NOT_RUN -> false;
+        };
+    if (lost && !keeps && job.runMillis() > 0) {
+      wasted += work;
+    }
+  }
+
+  void countOverCapacity() {
+    overCapacity++;
+  }
+
+  void countDuplicate() {
+    duplicates++;
+  }
+
+  double meanWaitSeconds() {
+    return waitSum / Math.max(1, waitCount) / SECOND_MILLIS;
+  }
+
+  double urgentP99Seconds() {
+    return waits.get(PriorityClass.URGENT).getValueAtPercentile(99) / SECOND_MILLIS;
+  }
+
+  long overCapacity() {
+    return overCapacity;
+  }
+
+  long duplicates() {
+    return duplicates;
+  }
+
+  /** Returns the figures by key. */
+  Map<String, Object> toMap() {
+    Map<String, Object> map = new LinkedHashMap<>();
+    Map<String, Object> median = new LinkedHashMap<>();
+    Map<String, Object> high = new LinkedHashMap<>();
+    waits.forEach(
+        (priority, histogram) -> {
+          String name = priority.name().toLowerCase(Locale.ROOT);
+          median.put(name, histogram.getValueAtPercentile(50) / SECOND_MILLIS);
+          high.put(name, histogram.getValueAtPercentile(99) / SECOND_MILLIS);
+        });
+    map.put("wait_mean_s", Figures.rounded(meanWaitSeconds()));
+    map.put("wait_p50_s", median);
+    map.put("wait_p99_s", high);
+    map.put("urgent_p99_s", urgentP99Seconds());
+    map.put("wasted_share", Figures.rounded(wasted / Math.max(1, done)));
+    map.put("never_started", neverStarted);
+    map.put("over_capacity", overCapacity);
+    map.put("duplicates", duplicates);
+    return map;
+  }
+
+  private void record(PlannedJob job, long wait) {
+    waits.get(job.spec().priority()).recordValue(wait);
+    waitSum += wait;
+    waitCount++;
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/vanillacove/bench/policy/PolicyBench.java
@@ -0,0 +1,87 @@
+package org.vanillacove.bench.policy;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.apache.commons.math3.random.RandomGenerator;
+import org.apache.commons.math3.random.Well19937c;
+import org.vanillacove.bench.Bench;
+import org.vanillacove.state.api.PlacementSettings;
+import org.vanillacove.state.api.Placer;
+import org.vanillacove.state.placement.BestFitPlacer;
+import org.vanillacove.state.placement.FirstFitPlacer;
+import org.vanillacove.state.placement.PolicyPlacer;
+
+/** Waiting, packing and fairness of the placement policy against the baselines. */
+public final class PolicyBench implements Bench {
+  /** Offered load of a day as a part of the capacity. */
+  private static final double LOAD = 0.95;
+
+  /** Half-life of past use in milliseconds. */
+  private static final long HALF_LIFE_MILLIS = 3_600_000;
+
+  /** Times a task may be preempted. */
+  private static final int MAX_PREEMPTIONS = 2;
+
+  /** Creates the bench. */
+  public PolicyBench() {}
+
+  @Override
+  public Map<String, Object> run(long seed) {
+    Map<String, Object> figures = new LinkedHashMap<>();
+    figures.put("karamanlis", scenario(CellShape.KARAMANLIS, 1_200, seed));
+    figures.put("encosta_sul", scenario(CellShape.ENCOSTA_SUL, 1_200, seed));
+    figures.put("planned", scenario(CellShape.PLANNED, 7_900, seed));
+    return figures;
+  }
+
+  private static Map<String, Object> scenario(CellShape shape, int jobs, long seed) {
+    DayFigures policy = day(PolicyPlacer::new, "policy", shape, jobs, seed);
+    DayFigures first = day(FirstFitPlacer::new, "first fit", shape, jobs, seed);
+    DayFigures best = day(BestFitPlacer::new, "best fit", shape, jobs, seed);
+    double packing = packing(new PolicyPlacer(), shape, seed);
+    double firstPacking = packing(new FirstFitPlacer(), shape, seed);
+    Map<String, Object> figures = new LinkedHashMap<>(policy.toMap());
+    figures.put("packing", Figures.rounded(packing));
+    figures.put(
+        "wait_vs_first_fit",
+        Figures.rounded(policy.meanWaitSeconds() / Math.max(0.001, first.meanWaitSeconds())));
+    figures.put(
+        "wait_vs_best_fit",
+        Figures.rounded(policy.meanWaitSeconds() / Math.max(0.001, best.meanWaitSeconds())));
+    figures.put("packing_vs_first_fit", Figures.rounded(packing / firstPacking));
+    figures.put("packing_first_fit", Figures.rounded(firstPacking));
+    figures.put("packing_best_fit", Figures.rounded(packing(new BestFitPlacer(), shape, seed)));
+    figures.put("quota_error", Figures.rounded(quotaError(shape, seed)));
+    figures.put("first_fit", first.toMap());
+    figures.put("best_fit", best.toMap());
+    return figures;
+  }
+
+  private static DayFigures day(
+      Supplier<Placer> placer, String name, CellShape shape, int jobs, long seed) {
+    RandomGenerator random = new Well19937c(seed);
+    JobCatalog catalog = new JobCatalog(shape, random);
+    List<PlannedJob> stream = new JobStream(shape, catalog, random, jobs, LOAD).jobs();
+    PlacementSettings settings =
+        new PlacementSettings(catalog.quotas(), HALF_LIFE_MILLIS, MAX_PREEMPTIONS);
+    long begin = System.nanoTime();
+    DayFigures figures =
+        new DayRun(placer.get(), new Well19937c(seed + 1), new DayFigures())
+            .run(shape, stream, settings, true);
+    System.err.printf(
+        "policy: %s, %s took %.1f s%n", shape.name(), name, (System.nanoTime() - begin) / 1e9);
+    return figures;
+  }
+
+  private static double packing(Placer placer, CellShape shape, long seed) {
+    return FillRun.packing(placer, shape, new JobCatalog(shape, new Well19937c(seed)));
+  }
+
+  private static double quotaError(CellShape shape, long seed) {
+    RandomGenerator random = new Well19937c(seed);
+    return new ShareRun(new PolicyPlacer(), shape, random)
+        .largestError(new JobCatalog(shape, random).quotas());
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/vanillacove/bench/policy/ShareRun.java
@@ -0,0 +1,123 @@
+package org.vanillacove.bench.policy;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
+import org.apache.commons.math3.distribution.LogNormalDistribution;
+import org.apache.commons.math3.random.RandomGenerator;
+import org.vanillacove.state.api.PlacementDecision;
+import org.vanillacove.state.api.PlacementSettings;
+import org.vanillacove.state.api.Placer;
+import org.vanillacove.state.api.Resources;
+import org.vanillacove.state.api.TaskId;
+import org.vanillacove.state.api.TaskOutcome;
+import org.vanillacove.state.api.WorkerSpec;
+
+/** Keeps every team's queue full and compares what teams get with what their quotas entitle to. */
+final class ShareRun {
+  /** Length of the run in milliseconds. */
+  private static final long LENGTH_MILLIS = 8 * 3_600_000L;
+
+  /** Start of the part that is measured, in milliseconds. */
+  private static final long MEASURED_FROM_MILLIS = 2 * 3_600_000L;
+
+  /** Median run time of a task in milliseconds. */
+  private static final long RUN_MILLIS = 900_000;
+
+  /** Jobs each team keeps waiting. */
+  private static final int BACKLOG = 4;
+
+  /** Parts of a worker that a task takes. */
+  private static final int PARTS = 32;
+
+  /** Placer under measurement. */
+  private final Placer placer;
+
+  /** Cell. */
+  private final CellShape shape;
+
+  /** Run times. */
+  private final LogNormalDistribution runs;
+
+  /** Ends of running tasks. */
+  private final PriorityQueue<End> ends = new PriorityQueue<>();
+
+  /** Processor time each team got, in core milliseconds. */
+  private final Map<String, Double> got = new HashMap<>();
+
+  /** Number of the next job. */
+  private int nextJob;
+
+  /** End of a task. */
+  private record End(long atMillis, TaskId task, String team) implements Comparable<End> {
+    @Override
+    public int compareTo(End other) {
+      int order = Long.compare(atMillis, other.atMillis);
+      return order != 0 ? order : task.jobId().compareTo(other.task.jobId());
+    }
+  }
+
+  ShareRun(Placer placer, CellShape shape, RandomGenerator random) {
+    this.placer = placer;
+    this.shape = shape;
+    this.runs = new LogNormalDistribution(random, 0, 0.8);
+  }
+
+  /** Returns the largest error of a team's share, relative to what it is entitled to. */
+  double largestError(Map<String, Resources> quotas) {
+    placer.configure(new PlacementSettings(quotas, 3_600_000, 2));
+    for (WorkerSpec worker : shape.specs()) {
+      placer.addWorker(worker);
+    }
+    Map<String, String> teams = new HashMap<>();
+    for (String team : quotas.keySet().stream().sorted().toList()) {
+      for (int i = 0; i < BACKLOG; i++) {
+        submit(team, teams, 0);
+      }
+    }
+    decide(teams, 0);
+    while (ends.peek().atMillis() < LENGTH_MILLIS) {
+      End end = ends.poll();
+      placer.taskEnded(end.task(), TaskOutcome.SUCCEEDED, end.atMillis());
+      decide(teams, end.atMillis());
+    }
+    double all = got.values().stream().mapToDouble(v -> v).sum();
+    double weights = quotas.values().stream().mapToDouble(Resources::cpuMillis).sum();
+    return quotas.entrySet().stream()
+        .mapToDouble(
+            e -> {
+              double share = got.getOrDefault(e.getKey(), 0.0) / all;
+              return Math.abs(share / (e.getValue().cpuMillis() / weights) - 1);
+            })
+        .max()
+        .orElse(0);
+  }
+
+  private void submit(String team, Map<String, String> teams, long now) {
+    String id = "s" + nextJob++;
+    Resources size =
+        new Resources(
+            shape.capacity().cpuMillis() / PARTS, shape.capacity().memoryMib() / PARTS / 2, 0);
+    teams.put(id, team);
+    placer.submit(id, JobCatalog.endless(size, team, RUN_MILLIS), now);
+  }
+
+  private void decide(Map<String, String> teams, long now) {
+    boolean more = true;
+    while (more) {
+      more = false;
+      for (PlacementDecision decision : placer.decide(now, 1_000)) {
+        if (decision instanceof PlacementDecision.Start start) {
+          more = true;
+          String team = teams.remove(start.task().jobId());
+          long run = (long) (RUN_MILLIS * runs.sample());
+          ends.add(new End(now + run, start.task(), team));
+          long from = Math.max(now, MEASURED_FROM_MILLIS);
+          long to = Math.min(now + run, LENGTH_MILLIS);
+          got.merge(team, (double) Math.max(0, to - from), Double::sum);
+          submit(team, teams, now);
+        }
+      }
+    }
+  }
+}
--- a/state/src/main/java/org/vanillacove/state/placement/ArrivalOrderPlacer.java
+++ b/state/src/main/java/org/vanillacove/state/placement/ArrivalOrderPlacer.java
@@ -2,12 +2,16 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
 import org.vanillacove.state.api.Admission;
 import org.vanillacove.state.api.JobSpec;
+import org.vanillacove.state.api.PlacementConstraints;
 import org.vanillacove.state.api.PlacementDecision;
 import org.vanillacove.state.api.PlacementSettings;
 import org.vanillacove.state.api.Placer;
@@ -31,11 +35,24 @@
   /** Jobs with tasks that wait or run, in order of arrival. */
   private final Map<String, Job> jobs = new LinkedHashMap<>();
 
+  /** Jobs with waiting tasks by order of arrival. */
+  private final TreeMap<Long, Job> waiting = new TreeMap<>();
+
+  /** Sizes and constraints that fitted nowhere since room was last gained. */
+  private final Set<Need> unfit = new HashSet<>();
+
+  /** Number of the next job. */
+  private long nextSequence;
+
   /** Number of the next worker. */
   private int nextNumber;
 
+  /** What decides where a task fits. */
+  private record Need(Resources size, PlacementConstraints constraints, int together) {}
+
   @Override
   public final void addWorker(WorkerSpec worker) {
+    unfit.clear();
     WorkerState known = workers.get(worker.id());
     if (known == null) {
       workers.put(worker.id(), new WorkerState(nextNumber++, worker));
@@ -49,6 +66,7 @@
     WorkerState worker = workers.get(workerId);
     if (worker != null) {
       worker.setStatus(status);
+      unfit.clear();
       dropIfGone(worker);
     }
   }
@@ -68,7 +86,11 @@
 
   @Override
   public final void submit(String jobId, JobSpec spec, long nowMillis) {
-    jobs.putIfAbsent(jobId, new Job(jobId, spec, nowMillis));
+    Job job = new Job(jobId, spec, nowMillis);
+    if (jobs.putIfAbsent(jobId, job) == null) {
+      job.setRank(nextSequence++, nowMillis);
+      waiting.put(job.sequence(), job);
+    }
   }
 
   @Override
@@ -76,6 +98,7 @@
     Job job = jobs.get(jobId);
     if (job != null) {
       job.markCancelled();
+      waiting.remove(job.sequence());
       dropIfFinished(job);
     }
   }
@@ -103,6 +126,9 @@
       job.removePending(task.index());
     } else if (running.isPresent()) {
       job.addPending(task.index());
+      if (job.hasPending()) {
+        waiting.put(job.sequence(), job);
+      }
     }
     dropIfFinished(job);
   }
@@ -113,17 +139,25 @@
   @Override
   public final List<PlacementDecision> decide(long nowMillis, int limit) {
     List<PlacementDecision> decisions = new ArrayList<>();
-    for (Job job : jobs.values()) {
+    for (Job job : List.copyOf(waiting.values())) {
       if (decisions.size() >= limit) {
         break;
       }
-      if (job.hasPending()) {
-        int room = limit - decisions.size();
-        if (job.spec().kind() == WorkloadKind.GANG) {
+      boolean gang = job.spec().kind() == WorkloadKind.GANG;
+      int together = gang ? job.pendingCount() : 1;
+      Need need = new Need(job.spec().resources(), job.spec().constraints(), together);
+      if (!unfit.contains(need)) {
+        if (gang) {
           startTogether(job, nowMillis, decisions);
         } else {
-          startEach(job, nowMillis, room, decisions);
+          startEach(job, nowMillis, limit - decisions.size(), decisions);
         }
+        if (job.hasPending() && decisions.size() < limit) {
+          unfit.add(need);
+        }
+      }
+      if (!job.hasPending()) {
+        waiting.remove(job.sequence());
       }
     }
     return decisions;
@@ -163,7 +197,8 @@
       Optional<WorkerState> worker = choose(job.spec(), workers.values());
       if (worker.isEmpty()) {
         for (RunningTask task : started) {
-          release(task);
+          task.worker().release(task);
+          job.ended(task);
           job.addPending(task.id().index());
         }
         return;
@@ -183,6 +218,7 @@
   }
 
   private void release(RunningTask task) {
+    unfit.clear();
     task.worker().release(task);
     task.job().ended(task);
     dropIfGone(task.worker());
