Route guests' requests to backend servers under slot tokens

Requests need a slot of a backend server, and all entry hosts together must never use more than its limit. One host holds the token of a backend server and alone gives out its slots, to its own requests and as loans to peers. A token is passed on exactly, or taken over once every agreed host said that it does not hold it and all others must have lost their standing.

--- /dev/null
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/BackendHealth.java
@@ -0,0 +1,116 @@
+package org.vanillacove.coordination.routing;
+
+/** Speed and failures of one backend server as this host saw them; a shard under its own lock. */
+final class BackendHealth {
+  /** Failures in a row after which a backend server is left out. */
+  private static final int FAILURES_TO_EJECT = 5;
+
+  /** Time for which a backend server is left out at first, in milliseconds. */
+  private static final long EJECTION_MILLIS = 2_000;
+
+  /** Largest number of doublings of that time. */
+  private static final int MAX_DOUBLINGS = 4;
+
+  /** Weight of a new observation of speed. */
+  private static final double WEIGHT = 0.2;
+
+  /** Time in which an old observation loses half of its force, in milliseconds. */
+  private static final double HALF_LIFE_MILLIS = 20_000;
+
+  /** Slowness above which a backend server counts as slow. */
+  private static final double SLOW = 1.8;
+
+  /** Slots allowed to a backend server of good health. */
+  private static final int UNLIMITED = Integer.MAX_VALUE / 2;
+
+  /** Service time relative to the mean of its class; one is usual. */
+  private double slowness = 1;
+
+  /** Monotonic time of the newest observation, in milliseconds. */
+  private long observedMillis;
+
+  /** Failures since the newest success. */
+  private int failuresInRow;
+
+  /** Times it was left out without a full recovery since. */
+  private int ejections;
+
+  /** Monotonic time until which it is left out, in milliseconds. */
+  private long ejectedUntilMillis = Long.MIN_VALUE;
+
+  /** Requests allowed at once while it is brought back. */
+  private int allowed = UNLIMITED;
+
+  /** Requests in flight from this host. */
+  private int inFlight;
+
+  /** Counts a request that was sent. */
+  synchronized void onStart() {
+    inFlight++;
+  }
+
+  /**
+   * Counts the end of a request.
+   *
+   * @param success whether the backend server did its part
+   * @param relative service time over the mean of its class, or zero if it says nothing
+   */
+  synchronized void onEnd(boolean success, double relative, long nowMillis) {
+    inFlight--;
+    if (relative > 0) {
+      slowness = slowness(nowMillis) + WEIGHT * (Math.min(relative, 20) - slowness(nowMillis));
+      observedMillis = nowMillis;
+    }
+    if (success) {
+      onSuccess();
+    } else {
+      onFailure(nowMillis);
+    }
+  }
+
+  /** Counts the end of a request that says nothing about the backend server. */
+  synchronized void onAbandoned() {
+    inFlight--;
+  }
+
+  /** Returns the service time relative to the mean of its class, nearing one with age. */
+  synchronized double slowness(long nowMillis) {
+    double age = Math.max(0, nowMillis - observedMillis);
+    return 1 + (slowness - 1) * Math.pow(0.5, age / HALF_LIFE_MILLIS);
+  }
+
+  /** Returns whether one more request may be sent. */
+  synchronized boolean allows(long nowMillis) {
+    if (nowMillis < ejectedUntilMillis) {
+      return false;
+    }
+    int most = slowness > SLOW ? Math.min(1, allowed) : allowed;
+    return inFlight < most;
+  }
+
+  /** Returns whether it is left out. */
+  synchronized boolean isEjected(long nowMillis) {
+    return nowMillis < ejectedUntilMillis;
+  }
+
+  private void onSuccess() {
+    failuresInRow = 0;
+    if (allowed < UNLIMITED) {
+      allowed *= 2;
+      if (allowed > 16) {
+        allowed = UNLIMITED;
+        ejections = 0;
+      }
+    }
+  }
+
+  private void onFailure(long nowMillis) {
+    failuresInRow++;
+    boolean relapse = allowed < UNLIMITED;
+    if ((relapse || failuresInRow >= FAILURES_TO_EJECT) && nowMillis >= ejectedUntilMillis) {
+      ejectedUntilMillis = nowMillis + (EJECTION_MILLIS << Math.min(ejections, MAX_DOUBLINGS));
+      ejections++;
+      allowed = 1;
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/BackendSlots.java
@@ -0,0 +1,267 @@
+package org.vanillacove.coordination.routing;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.vanillacove.protocol.generated.SlotLoan;
+import org.vanillacove.protocol.generated.SlotTransfer;
+
+/** Slots of one backend server as this host knows them; a shard under its own lock. */
+final class BackendSlots {
+  /** Backend server. */
+  private final String backendId;
+
+  /** Slots of this host's own token in use by its own requests. */
+  private final Set<SlotHold> ownUse = new HashSet<>();
+
+  /** Lent slots by loan identifier. */
+  private final Map<String, Lent> lent = new HashMap<>();
+
+  /** Monotonic times at which slots of unknown use are free, in milliseconds. */
+  private final List<Long> limbo = new ArrayList<>();
+
+  /** Borrowed slots that no request uses yet. */
+  private final ArrayDeque<Borrowed> idle = new ArrayDeque<>();
+
+  /** Whether this host holds the token, so that it alone gives out slots. */
+  private boolean held;
+
+  /** Number of times that the token was passed on, as far as this host knows. */
+  private long term;
+
+  /** How the token was passed on last, null if it never was or came back. */
+  private PassedOn passedOn;
+
+  /** Host that was told that this one will not take the token from others, empty if none. */
+  private String promisedTo = "";
+
+  /** Monotonic time until which the promise binds at least, in milliseconds. */
+  private long promisedUntilMillis;
+
+  /** Membership at the promise, which binds until it changes. */
+  private int promisedView;
+
+  BackendSlots(String backendId) {
+    this.backendId = backendId;
+  }
+
+  /**
+   * A lent slot.
+   *
+   * @param borrower host that borrowed it
+   * @param incarnation process of the borrower
+   * @param sequence sequence number of the borrower's call
+   * @param reclaimMillis monotonic time at which it is free even if nothing was heard
+   */
+  record Lent(String borrower, long incarnation, long sequence, long reclaimMillis) {}
+
+  /**
+   * A borrowed slot.
+   *
+   * @param loanId loan
+   * @param lender host that lent it
+   * @param leaseUntilMillis monotonic time until which a request may start on it
+   */
+  record Borrowed(String loanId, String lender, long leaseUntilMillis) {}
+
+  /**
+   * A token that was passed on.
+   *
+   * @param receiver host that got it
+   * @param incarnation process that got it, zero for whichever runs there
+   * @param transfer the message
+   */
+  record PassedOn(String receiver, long incarnation, SlotTransfer transfer) {}
+
+  synchronized boolean isHeld() {
+    return held;
+  }
+
+  /** Returns how many slots of the token are free. */
+  synchronized int free(long nowMillis, int limit) {
+    if (!held) {
+      return 0;
+    }
+    expire(nowMillis);
+    return Math.max(0, limit - ownUse.size() - lent.size() - limbo.size());
+  }
+
+  /** Returns how many slots a request of this host could take. */
+  synchronized int available(long nowMillis, int limit) {
+    long usable = idle.stream().filter(slot -> slot.leaseUntilMillis() > nowMillis).count();
+    return (int) usable + free(nowMillis, limit);
+  }
+
+  /** Returns how many slots of the token are counted as used. */
+  synchronized int used(long nowMillis) {
+    expire(nowMillis);
+    return ownUse.size() + lent.size() + limbo.size();
+  }
+
+  /** Takes a slot for a request of this host. */
+  synchronized Optional<SlotHold> take(long nowMillis, int limit, Consumer<SlotHold> onRelease) {
+    Optional<Borrowed> borrowed =
+        idle.stream().filter(slot -> slot.leaseUntilMillis() > nowMillis).findFirst();
+    if (borrowed.isPresent()) {
+      idle.remove(borrowed.get());
+      return Optional.of(new SlotHold(backendId, borrowed.get().loanId(), onRelease));
+    }
+    if (free(nowMillis, limit) <= 0) {
+      return Optional.empty();
+    }
+    SlotHold hold = new SlotHold(backendId, "", onRelease);
+    ownUse.add(hold);
+    return Optional.of(hold);
+  }
+
+  /** Frees a slot of the own token; false if the token was passed on meanwhile. */
+  synchronized boolean releaseOwn(SlotHold hold) {
+    return ownUse.remove(hold);
+  }
+
+  /** Lends a slot if one is free. */
+  synchronized boolean lend(String loanId, Lent loan, long nowMillis, int limit) {
+    if (free(nowMillis, limit) <= 0) {
+      return false;
+    }
+    lent.put(loanId, loan);
+    return true;
+  }
+
+  /** Ends a loan; false if it is not known. */
+  synchronized boolean endLoan(String loanId) {
+    return lent.remove(loanId) != null;
+  }
+
+  /** Ends the settled loans of a borrower that it does not hold any more. */
+  synchronized boolean reconcile(
+      String borrower, long incarnation, long settledThrough, Set<String> heldLoans) {
+    return lent.entrySet()
+        .removeIf(
+            entry ->
+                entry.getValue().borrower().equals(borrower)
+                    && entry.getValue().incarnation() == incarnation
+                    && entry.getValue().sequence() <= settledThrough
+                    && !heldLoans.contains(entry.getKey()));
+  }
+
+  /** Takes a borrowed slot and records it; false if a promise to another host forbids it. */
+  synchronized boolean addBorrowed(Borrowed slot, long nowMillis, int view, Runnable record) {
+    if (isPromisedAwayFrom(slot.lender(), nowMillis, view)) {
+      return false;
+    }
+    record.run();
+    idle.add(slot);
+    return true;
+  }
+
+  /** Removes and returns the borrowed slots that no request uses. */
+  synchronized List<Borrowed> drainIdle() {
+    List<Borrowed> unused = new ArrayList<>(idle);
+    idle.clear();
+    return unused;
+  }
+
+  /** Gives the token away; slots in use here become loans named by {@code loanOf}. */
+  synchronized Optional<SlotTransfer> passOn(
+      String receiver, long process, long nowMillis, Function<SlotHold, SlotLoan> loanOf) {
+    if (!held) {
+      return Optional.empty();
+    }
+    expire(nowMillis);
+    SlotTransfer.Builder transfer =
+        SlotTransfer.newBuilder().setBackendId(backendId).setTerm(term + 1);
+    ownUse.forEach(hold -> transfer.addLoans(loanOf.apply(hold)));
+    lent.forEach((loanId, loan) -> transfer.addLoans(loanMessage(loanId, loan, nowMillis)));
+    limbo.forEach(until -> transfer.addLimboMillis(until - nowMillis));
+    ownUse.clear();
+    lent.clear();
+    limbo.clear();
+    held = false;
+    term++;
+    passedOn = new PassedOn(receiver, process, transfer.build());
+    return Optional.of(passedOn.transfer());
+  }
+
+  /** Returns how the token was passed on, empty if it never was or came back. */
+  synchronized Optional<PassedOn> passedOn() {
+    return Optional.ofNullable(passedOn);
+  }
+
+  /** Takes a token that was passed on; false if it is an old message or promised to another. */
+  synchronized boolean receive(String from, SlotTransfer transfer, long nowMillis, int view) {
+    if (held || transfer.getTerm() <= term || isPromisedAwayFrom(from, nowMillis, view)) {
+      return held && transfer.getTerm() == term;
+    }
+    limbo.clear();
+    transfer.getLimboMillisList().forEach(remaining -> limbo.add(nowMillis + remaining));
+    hold(transfer.getLoansList(), transfer.getTerm(), nowMillis);
+    return true;
+  }
+
+  /** Takes the token because nobody else can hold it any more. */
+  synchronized void takeOver(
+      List<SlotLoan> loans, int unknown, long unknownUntilMillis, long nowMillis) {
+    limbo.clear();
+    for (int i = 0; i < unknown; i++) {
+      limbo.add(unknownUntilMillis);
+    }
+    hold(loans, term + 1, nowMillis);
+  }
+
+  /**
+   * Promises a host not to take the token from anyone else until a monotonic time has come and the
+   * membership changed.
+   */
+  synchronized void promise(String hostId, long untilMillis, int view) {
+    promisedTo = hostId;
+    promisedUntilMillis = untilMillis;
+    promisedView = view;
+  }
+
+  /** Returns whether a promise forbids to take the token or a slot from {@code hostId}. */
+  synchronized boolean isPromisedAwayFrom(String hostId, long nowMillis, int view) {
+    boolean binds = nowMillis < promisedUntilMillis || view == promisedView;
+    return !promisedTo.isEmpty() && binds && !promisedTo.equals(hostId);
+  }
+
+  private void hold(List<SlotLoan> loans, long newTerm, long nowMillis) {
+    lent.clear();
+    for (SlotLoan loan : loans) {
+      lent.put(
+          loan.getLoanId(),
+          new Lent(
+              loan.getBorrower(),
+              loan.getIncarnation(),
+              loan.getSequence(),
+              nowMillis + loan.getRemainingMillis()));
+    }
+    held = true;
+    promisedTo = "";
+    term = newTerm;
+    passedOn = null;
+  }
+
+  private void expire(long nowMillis) {
+    limbo.removeIf(until -> until <= nowMillis);
+    lent.values().removeIf(loan -> loan.reclaimMillis() <= nowMillis);
+  }
+
+  private SlotLoan loanMessage(String loanId, Lent loan, long nowMillis) {
+    return SlotLoan.newBuilder()
+        .setLoanId(loanId)
+        .setBackendId(backendId)
+        .setBorrower(loan.borrower())
+        .setIncarnation(loan.incarnation())
+        .setSequence(loan.sequence())
+        .setRemainingMillis(loan.reclaimMillis() - nowMillis)
+        .build();
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/RequestKeyRegister.java
@@ -0,0 +1,203 @@
+package org.vanillacove.coordination.routing;
+
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.vanillacove.coordination.api.Membership;
+import org.vanillacove.protocol.generated.KeyMessage;
+import org.vanillacove.protocol.generated.KeyReply;
+import org.vanillacove.protocol.generated.KeyState;
+import org.vanillacove.protocol.peer.PeerChannel;
+import org.vanillacove.protocol.peer.PeerLink;
+import org.vanillacove.protocol.timer.TimerService;
+import org.vanillacove.state.api.HostSpec;
+
+/**
+ * Idempotency keys. The first host for a key in rendezvous order decides; the second keeps a copy
+ * that answers after the first died. A record that both lost makes a repeated attempt undecided,
+ * never runnable; thread-safe.
+ */
+public final class RequestKeyRegister {
+  /** Longest wait for the owner of a key. */
+  private static final Duration CALL_DEADLINE = Duration.ofMillis(500);
+
+  /** Time for which a key is kept. */
+  private static final Duration KEPT = Duration.ofMinutes(30);
+
+  /** Number of keys that are kept. */
+  private static final long KEPT_KEYS = 200_000;
+
+  /** Logger. */
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  /** This host and its peers. */
+  private final Membership membership;
+
+  /** Messages to peers. */
+  private final PeerLink link;
+
+  /** Keys that this host keeps as owner or copy. */
+  private final Cache<String, KeyReply> kept;
+
+  /** Creates an empty register. */
+  public RequestKeyRegister(Membership membership, PeerLink link, TimerService timer) {
+    this.membership = membership;
+    this.link = link;
+    this.kept =
+        CacheBuilder.newBuilder()
+            .maximumSize(KEPT_KEYS)
+            .expireAfterWrite(KEPT)
+            .ticker(new MillisTicker(timer))
+            .build();
+    link.register(PeerChannel.REQUEST_KEY, (from, payload) -> handle(payload));
+  }
+
+  /** How a request with a key ended. */
+  public enum KeyEnd {
+    /** It ran. */
+    RUN(KeyState.KEY_RUN),
+    /** It did not run; the key may be used again. */
+    NOT_RUN(KeyState.KEY_ABSENT),
+    /** It may have run. */
+    UNKNOWN(KeyState.KEY_UNKNOWN);
+
+    /** State in messages. */
+    private final KeyState state;
+
+    KeyEnd(KeyState state) {
+      this.state = state;
+    }
+  }
+
+  /** Asks whether a request may run, and if so records that it runs. */
+  public CompletableFuture<KeyVerdict> begin(String key, String attemptId, boolean repeated) {
+    KeyMessage message =
+        KeyMessage.newBuilder()
+            .setKey(key)
+            .setAttemptId(attemptId)
+            .setState(KeyState.KEY_RUNNING)
+            .setRepeated(repeated)
+            .build();
+    List<HostSpec> keepers = keepers(key);
+    if (keepers.isEmpty()) {
+      return CompletableFuture.completedFuture(new KeyVerdict.Unavailable("no host keeps keys"));
+    }
+    return ask(keepers.getFirst(), message)
+        .thenCompose(owner -> askCopy(keepers, owner, message))
+        .thenApply(verdict -> settle(verdict, key, attemptId));
+  }
+
+  /** Records how a request ended. */
+  public void end(String key, String attemptId, KeyEnd end) {
+    KeyMessage message =
+        KeyMessage.newBuilder().setKey(key).setAttemptId(attemptId).setState(end.state).build();
+    keepers(key).forEach(host -> ask(host, message));
+  }
+
+  private List<HostSpec> keepers(String key) {
+    List<HostSpec> order = OwnerRing.order(key, membership.agreedHosts());
+    return order.subList(0, Math.min(2, order.size()));
+  }
+
+  private CompletableFuture<Optional<KeyReply>> ask(HostSpec host, KeyMessage message) {
+    if (host.id().equals(membership.self().id())) {
+      return CompletableFuture.completedFuture(Optional.of(apply(message)));
+    }
+    return link.call(host.id(), PeerChannel.REQUEST_KEY, message.toByteString(), CALL_DEADLINE)
+        .thenApply(reply -> reply.flatMap(RequestKeyRegister::parse));
+  }
+
+  private CompletableFuture<KeyVerdict> askCopy(
+      List<HostSpec> keepers, Optional<KeyReply> owner, KeyMessage message) {
+    boolean decided = owner.isPresent() && !isIn(owner, KeyState.KEY_ABSENT);
+    if (decided || keepers.size() < 2) {
+      return CompletableFuture.completedFuture(
+          verdict(owner, Optional.empty(), message.getRepeated()));
+    }
+    return ask(keepers.get(1), message)
+        .thenApply(copy -> verdict(owner, copy, message.getRepeated()));
+  }
+
+  private static KeyVerdict verdict(
+      Optional<KeyReply> owner, Optional<KeyReply> copy, boolean repeated) {
+    if (isIn(owner, KeyState.KEY_RUN) || isIn(copy, KeyState.KEY_RUN)) {
+      return new KeyVerdict.AlreadyRun();
+    }
+    if (isIn(owner, KeyState.KEY_RUNNING) || isIn(copy, KeyState.KEY_RUNNING)) {
+      return new KeyVerdict.Undecided("a request with this key is running");
+    }
+    if (isIn(owner, KeyState.KEY_UNKNOWN) || isIn(copy, KeyState.KEY_UNKNOWN)) {
+      return new KeyVerdict.Undecided("a request with this key may have run");
+    }
+    if (repeated) {
+      return new KeyVerdict.Undecided("the first attempt is not on record");
+    }
+    return owner.isPresent()
+        ? new KeyVerdict.First()
+        : new KeyVerdict.Unavailable("the owner of the key cannot be reached");
+  }
+
+  /** Takes back the records of an attempt that does not run. */
+  private KeyVerdict settle(KeyVerdict verdict, String key, String attemptId) {
+    if (!(verdict instanceof KeyVerdict.First)) {
+      end(key, attemptId, KeyEnd.NOT_RUN);
+    }
+    return verdict;
+  }
+
+  private static boolean isIn(Optional<KeyReply> reply, KeyState state) {
+    return reply.map(KeyReply::getBefore).filter(state::equals).isPresent();
+  }
+
+  private synchronized KeyReply apply(KeyMessage message) {
+    KeyReply present = kept.getIfPresent(message.getKey());
+    KeyReply before = present == null ? KeyReply.getDefaultInstance() : present;
+    boolean own = before.getAttemptId().equals(message.getAttemptId());
+    if (message.getState() == KeyState.KEY_RUNNING) {
+      if (present == null && !message.getRepeated()) {
+        put(message);
+      }
+      return own ? KeyReply.getDefaultInstance() : before;
+    }
+    if (own && message.getState() == KeyState.KEY_ABSENT) {
+      kept.invalidate(message.getKey());
+    } else if (message.getState() != KeyState.KEY_ABSENT && (own || present == null)) {
+      put(message);
+    }
+    return before;
+  }
+
+  private void put(KeyMessage message) {
+    kept.put(
+        message.getKey(),
+        KeyReply.newBuilder()
+            .setBefore(message.getState())
+            .setAttemptId(message.getAttemptId())
+            .build());
+  }
+
+  private CompletableFuture<Optional<ByteString>> handle(ByteString payload) {
+    try {
+      KeyReply reply = apply(KeyMessage.parseFrom(payload));
+      return CompletableFuture.completedFuture(Optional.of(reply.toByteString()));
+    } catch (InvalidProtocolBufferException e) {
+      LOGGER.atWarning().withCause(e).log("routing: bad message about a key.");
+      return CompletableFuture.completedFuture(Optional.empty());
+    }
+  }
+
+  private static Optional<KeyReply> parse(ByteString payload) {
+    try {
+      return Optional.of(KeyReply.parseFrom(payload));
+    } catch (InvalidProtocolBufferException e) {
+      LOGGER.atWarning().withCause(e).log("routing: bad answer about a key.");
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/RequestRouter.java
@@ -0,0 +1,342 @@
+package org.vanillacove.coordination.routing;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.DistributionSummary;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
+import org.vanillacove.coordination.api.Membership;
+import org.vanillacove.protocol.generated.SlotLoan;
+import org.vanillacove.protocol.peer.PeerLink;
+import org.vanillacove.protocol.platform.ListedHost;
+import org.vanillacove.protocol.timer.TimerService;
+import org.vanillacove.state.api.RoutingSettings;
+
+/** Decides for each request which backend server takes it, when, or why none does; thread-safe. */
+public final class RequestRouter {
+  /** Period of the reading of the list of backend servers. */
+  private static final Duration DIRECTORY_PERIOD = Duration.ofSeconds(1);
+
+  /** Period of claims to tokens and of the sweep for passed deadlines. */
+  private static final Duration SWEEP_PERIOD = Duration.ofMillis(50);
+
+  /** Period of the announcement of held loans. */
+  private static final Duration HOLDINGS_PERIOD = Duration.ofSeconds(1);
+
+  /** Shortest advice to a refused guest, in milliseconds. */
+  private static final long MIN_RETRY_AFTER_MILLIS = 1_000;
+
+  /** Share of the mean service time that must be left after the wait. */
+  private static final double SHED_SERVICE_SHARE = 0.5;
+
+  /** This host and its peers. */
+  private final Membership membership;
+
+  /** Source of time. */
+  private final TimerService timer;
+
+  /** Policy values in force. */
+  private final Supplier<RoutingSettings> settings;
+
+  /** Backend servers. */
+  private final BackendDirectory directory;
+
+  /** Slots. */
+  private final SlotLedger ledger;
+
+  /** Tokens of backend servers. */
+  private final SlotTokens tokens;
+
+  /** Borrows slots from peers. */
+  private final SlotBorrower borrower;
+
+  /** Service times of the classes. */
+  private final ServiceTimes times = new ServiceTimes();
+
+  /** Chooses backend servers. */
+  private final BackendSelector selector;
+
+  /** Waiting requests. */
+  private final WaitQueue queue = new WaitQueue();
+
+  /** Limits retries. */
+  private final RetryBudget budget;
+
+  /** Number of dispatch calls not worked off yet; the first caller works for all. */
+  private final AtomicInteger pending = new AtomicInteger();
+
+  /** Time that requests waited, in milliseconds. */
+  private final DistributionSummary waitSummary;
+
+  /** Refused requests. */
+  private final Counter refusals;
+
+  /** Retries. */
+  private final Counter retries;
+
+  /** Timers to cancel at the end. */
+  private final List<TimerService.Subscription> timers = new ArrayList<>();
+
+  /** Creates a router and starts its timers. */
+  public RequestRouter(
+      Membership membership,
+      PeerLink link,
+      TimerService timer,
+      Supplier<RoutingSettings> settings,
+      Supplier<List<ListedHost>> backends,
+      BackendOccupancy occupancy,
+      SlotTiming timing,
+      MeterRegistry registry) {
+    this.membership = membership;
+    this.timer = timer;
+    this.settings = settings;
+    this.directory = new BackendDirectory(backends);
+    long incarnation = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
+    this.ledger = new SlotLedger(membership, link, timer, settings, timing, incarnation);
+    this.tokens = new SlotTokens(membership, link, timer, timing, ledger, directory, occupancy);
+    this.borrower = new SlotBorrower(membership, link, timer, settings, ledger);
+    this.selector = new BackendSelector(directory, membership.self().zone(), times);
+    this.budget = new RetryBudget(() -> settings.get().retryBudgetPercent());
+    this.waitSummary =
+        DistributionSummary.builder("routing.wait.millis")
+            .publishPercentiles(0.5, 0.99)
+            .register(registry);
+    this.refusals = registry.counter("routing.refused");
+    this.retries = registry.counter("routing.retries");
+    registry.gauge("routing.queue", queue, WaitQueue::size);
+    ledger.onFree(this::dispatch);
+    membership.onChange(tokens::tick);
+    timers.add(timer.every(DIRECTORY_PERIOD, this::refresh));
+    timers.add(timer.every(SWEEP_PERIOD, this::sweep));
+    timers.add(timer.every(HOLDINGS_PERIOD, ledger::announceHoldings));
+    tokens.tick();
+  }
+
+  /** Gives a request a slot as soon as one is free, or refuses it. */
+  public CompletableFuture<Admission> admit(RoutedRequest request) {
+    long now = timer.monotonicMillis();
+    if (request.avoided().isEmpty()) {
+      budget.onRequest();
+    }
+    CompletableFuture<Admission> admission = new CompletableFuture<>();
+    WaitQueue.Waiting waiting = new WaitQueue.Waiting(request, now, admission);
+    double wait = queue.size() == 0 ? 0 : expectedWaitMillis(queue.ahead(request), now);
+    double left = (double) (request.deadlineMillis() - now);
+    if (left <= 0
+        || (times.isReliable()
+            && wait + SHED_SERVICE_SHARE * times.mean(request.requestClass()) >= left)) {
+      refuse(waiting, "the deadline cannot be met", (long) wait);
+      return admission;
+    }
+    queue
+        .offer(waiting, settings.get().queueLimit())
+        .ifPresent(evicted -> refuse(evicted, "too many requests wait", (long) wait));
+    dispatch();
+    return admission;
+  }
+
+  /** Ends the use of a slot. */
+  public void finish(
+      SlotHold hold, RoutedRequest request, RequestOutcome outcome, long serviceMillis) {
+    BackendHealth health = selector.health(hold.backendId());
+    long now = timer.monotonicMillis();
+    double relative = serviceMillis / Math.max(1, times.mean(request.requestClass()));
+    switch (outcome) {
+      case RequestOutcome.Answered answered -> {
+        boolean success = answered.status() < 500;
+        health.onEnd(success, success ? relative : 0, now);
+        if (success && health.slowness(now) < 2) {
+          times.observe(request.requestClass(), (double) serviceMillis);
+        }
+      }
+      case RequestOutcome.NotRun notRun -> health.onEnd(false, 0, now);
+      case RequestOutcome.Unknown unknown -> health.onEnd(false, 0, now);
+    }
+    hold.release();
+  }
+
+  /** Ends the use of a slot by a request whose guest went away. */
+  public void abandon(SlotHold hold) {
+    selector.health(hold.backendId()).onAbandoned();
+    hold.release();
+  }
+
+  /** Returns the request to try again, empty if it must not or may not be. */
+  public Optional<RoutedRequest> retry(
+      RoutedRequest request, RequestOutcome outcome, String backendId) {
+    boolean harmless =
+        switch (outcome) {
+          case RequestOutcome.Answered answered -> false;
+          case RequestOutcome.NotRun notRun -> true;
+          case RequestOutcome.Unknown unknown -> request.idempotent();
+        };
+    if (!harmless || timer.monotonicMillis() >= request.deadlineMillis() || !budget.tryRetry()) {
+      return Optional.empty();
+    }
+    retries.increment();
+    return Optional.of(request.avoiding(backendId));
+  }
+
+  /** Returns a listed backend server. */
+  public Optional<ListedHost> backend(String backendId) {
+    return directory.find(backendId);
+  }
+
+  /** Returns the slots. */
+  public SlotLedger ledger() {
+    return ledger;
+  }
+
+  /** Returns the number of waiting requests. */
+  public int waiting() {
+    return queue.size();
+  }
+
+  /** Gives the tokens to other hosts; false if one of them was not taken. */
+  public CompletableFuture<Boolean> handOver() {
+    return tokens.handOver();
+  }
+
+  /** Stops the timers. */
+  public void close() {
+    timers.forEach(TimerService.Subscription::cancel);
+  }
+
+  private void refresh() {
+    directory.refresh();
+    tokens.tick();
+    dispatch();
+  }
+
+  private void sweep() {
+    long now = timer.monotonicMillis();
+    ledger.isInStanding();
+    queue.expire(now).forEach(waiting -> refuse(waiting, "no slot before the deadline", 0));
+    ledger.expireWants();
+    tokens.tick();
+    if (queue.size() > 0) {
+      dispatch();
+    }
+  }
+
+  private void refuse(WaitQueue.Waiting waiting, String reason, long waitMillis) {
+    refusals.increment();
+    long after = Math.max(MIN_RETRY_AFTER_MILLIS, waitMillis);
+    waiting.admission().complete(new Admission.Refused(reason, after));
+  }
+
+  /** Returns the wait behind {@code ahead} requests if the region's slots are shared evenly. */
+  private double expectedWaitMillis(int ahead, long now) {
+    String region = membership.self().zone().region();
+    long hosts =
+        membership.agreedHosts().stream()
+            .filter(host -> host.zone().region().equals(region))
+            .count();
+    long slots = selector.usableIn(region, now) * settings.get().slotsPerBackend();
+    return ahead * times.mixMean() * Math.max(1, hosts) / Math.max(1, slots);
+  }
+
+  /** Gives free slots to waiting requests and peers; one thread works for all callers. */
+  private void dispatch() {
+    if (pending.getAndIncrement() != 0) {
+      return;
+    }
+    int seen;
+    do {
+      seen = pending.get();
+      dispatchOnce();
+    } while (pending.addAndGet(-seen) != 0);
+  }
+
+  private void dispatchOnce() {
+    while (lendOne(true) || grantOne()) {
+      // Each pass gives out one slot.
+    }
+    while (lendOne(false)) {
+      // What local requests do not need goes to peers.
+    }
+    ledger.returnIdle();
+    List<WaitQueue.Waiting> heads = queue.heads();
+    if (heads.isEmpty()) {
+      borrower.cancel();
+    } else {
+      borrower.ask(queue.size(), heads.getFirst().urgencyMillis());
+    }
+  }
+
+  private boolean grantOne() {
+    long now = timer.monotonicMillis();
+    double wait = expectedWaitMillis(queue.size(), now);
+    for (WaitQueue.Waiting waiting : queue.heads()) {
+      Optional<SlotHold> hold =
+          selector
+              .select(waiting.request(), ledger::available, wait, now)
+              .flatMap(backend -> ledger.take(backend.id()));
+      if (hold.isPresent() && grant(waiting, hold.get(), now)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean grant(WaitQueue.Waiting waiting, SlotHold hold, long now) {
+    selector.health(hold.backendId()).onStart();
+    waitSummary.record((double) (now - waiting.enqueuedMillis()));
+    boolean taken =
+        queue.remove(waiting) && waiting.admission().complete(new Admission.Granted(hold));
+    if (!taken) {
+      abandon(hold);
+    }
+    return taken;
+  }
+
+  /** Lends a slot to the most urgent peer; {@code onlyUrgent} if it goes before local requests. */
+  private boolean lendOne(boolean onlyUrgent) {
+    if (ledger.wants().isEmpty()) {
+      return false;
+    }
+    List<WaitQueue.Waiting> heads = queue.heads();
+    long localUrgency = heads.isEmpty() ? Long.MAX_VALUE : heads.getFirst().urgencyMillis();
+    for (SlotWants.Want want : ledger.wants().byUrgency()) {
+      if (onlyUrgent && want.urgencyMillis() >= localUrgency) {
+        return false;
+      }
+      List<SlotLoan> loans = lendTo(want);
+      if (!loans.isEmpty()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private List<SlotLoan> lendTo(SlotWants.Want want) {
+    long now = timer.monotonicMillis();
+    Set<String> unwanted = new HashSet<>(want.message().getUnwantedList());
+    double waited = (double) (now - want.urgencyMillis());
+    List<SlotLoan> loans = new ArrayList<>();
+    for (ListedHost backend : directory.listed()) {
+      if (loans.size() < want.message().getCount()
+          && ledger.holdsToken(backend.id())
+          && selector.isLendable(backend.id(), unwanted, waited, now)) {
+        ledger.lend(backend.id(), want).ifPresent(loans::add);
+      }
+    }
+    if (loans.isEmpty()) {
+      return loans;
+    }
+    if (ledger.wants().remove(want)) {
+      want.answer(loans);
+    } else {
+      loans.forEach(loan -> ledger.shard(loan.getBackendId()).endLoan(loan.getLoanId()));
+    }
+    return loans;
+  }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/SlotBorrower.java
@@ -0,0 +1,148 @@
+package org.vanillacove.coordination.routing;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Supplier;
+import org.vanillacove.coordination.api.Membership;
+import org.vanillacove.protocol.generated.SlotBorrow;
+import org.vanillacove.protocol.generated.SlotBorrowCancel;
+import org.vanillacove.protocol.generated.SlotBorrowReply;
+import org.vanillacove.protocol.peer.PeerChannel;
+import org.vanillacove.protocol.peer.PeerLink;
+import org.vanillacove.protocol.timer.TimerService;
+import org.vanillacove.state.api.HostSpec;
+import org.vanillacove.state.api.RoutingSettings;
+
+/** Borrows slots from peers while requests wait; thread-safe. */
+final class SlotBorrower {
+  /** How long a peer may hold a call until a slot is free, in milliseconds. */
+  private static final long PATIENCE_MILLIS = 200;
+
+  /** Allowance for the way to the peer and back, in milliseconds. */
+  private static final long TRANSIT_MILLIS = 300;
+
+  /** Slots asked for in one call, at most. */
+  private static final int MAX_COUNT = 4;
+
+  /** Logger. */
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+  /** This host and its peers. */
+  private final Membership membership;
+
+  /** Messages to peers. */
+  private final PeerLink link;
+
+  /** Source of time. */
+  private final TimerService timer;
+
+  /** Policy values in force. */
+  private final Supplier<RoutingSettings> settings;
+
+  /** Slots. */
+  private final SlotLedger ledger;
+
+  /** Calls in flight by peer. */
+  private final Map<String, Call> calls = new ConcurrentHashMap<>();
+
+  SlotBorrower(
+      Membership membership,
+      PeerLink link,
+      TimerService timer,
+      Supplier<RoutingSettings> settings,
+      SlotLedger ledger) {
+    this.membership = membership;
+    this.link = link;
+    this.timer = timer;
+    this.settings = settings;
+    this.ledger = ledger;
+  }
+
+  /**
+   * A call in flight.
+   *
+   * @param sequence its sequence number
+   * @param cancelled whether it was taken back
+   */
+  private record Call(long sequence, AtomicBoolean cancelled) {}
+
+  /**
+   * Asks peers for slots: those of the region, and others once the wait saved is worth it.
+   *
+   * @param waiting number of waiting requests
+   * @param urgencyMillis monotonic time at which the oldest became urgent
+   */
+  void ask(int waiting, long urgencyMillis) {
+    long waited = timer.monotonicMillis() - urgencyMillis;
+    boolean far = waited >= settings.get().crossRegionPenaltyMillis();
+    HostSpec self = membership.self();
+    for (HostSpec host : membership.agreedHosts()) {
+      boolean near = host.zone().region().equals(self.zone().region());
+      if (!host.id().equals(self.id())
+          && (near || far)
+          && membership.isReachable(host.id())
+          && !calls.containsKey(host.id())) {
+        call(host.id(), Math.min(MAX_COUNT, waiting), waited);
+      }
+    }
+  }
+
+  /** Takes back the calls in flight, since nothing waits any more. */
+  void cancel() {
+    calls.forEach(
+        (peer, call) -> {
+          if (call.cancelled().compareAndSet(false, true)) {
+            SlotBorrowCancel body =
+                SlotBorrowCancel.newBuilder().setSequence(call.sequence()).build();
+            link.send(
+                peer, PeerChannel.SLOT, ledger.message().setCancel(body).build().toByteString());
+          }
+        });
+  }
+
+  private void call(String peer, int count, long waited) {
+    long sequence = ledger.loans().begin();
+    if (calls.putIfAbsent(peer, new Call(sequence, new AtomicBoolean())) != null) {
+      ledger.loans().settle(sequence);
+      return;
+    }
+    SlotBorrow body =
+        SlotBorrow.newBuilder()
+            .setSequence(sequence)
+            .setCount(count)
+            .setWaitedMillis(waited)
+            .setPatienceMillis(PATIENCE_MILLIS)
+            .build();
+    long sentMillis = timer.monotonicMillis();
+    ByteString message = ledger.message().setBorrow(body).build().toByteString();
+    link.call(peer, PeerChannel.SLOT, message, Duration.ofMillis(PATIENCE_MILLIS + TRANSIT_MILLIS))
+        .whenComplete(
+            (reply, error) -> {
+              if (reply != null) {
+                accept(peer, reply, sequence, sentMillis);
+              }
+              ledger.loans().settle(sequence);
+              calls.remove(peer);
+              ledger.signal();
+            });
+  }
+
+  private void accept(String peer, Optional<ByteString> reply, long sequence, long sentMillis) {
+    if (reply.isEmpty()) {
+      return;
+    }
+    try {
+      SlotBorrowReply.parseFrom(reply.get())
+          .getLoansList()
+          .forEach(loan -> ledger.acceptLoan(peer, loan, sequence, sentMillis));
+    } catch (InvalidProtocolBufferException e) {
+      LOGGER.atWarning().withCause(e).log("routing: bad answer of %s to a borrower.", peer);
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/vanillacove/coordination/routing/SlotLedgerTest.java
@@ -0,0 +1,261 @@
+package org.vanillacove.coordination.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.vanillacove.protocol.platform.ListedHost;
+import org.vanillacove.standin.memory.ManualTimerService;
+import org.vanillacove.standin.memory.MemoryPeerNetwork;
+import org.vanillacove.state.api.AvailabilityZone;
+import org.vanillacove.state.api.HostSpec;
+import org.vanillacove.state.api.RoutingSettings;
+
+/** Tests {@link SlotLedger} through routers that share one backend server. */
+class SlotLedgerTest {
+  private static final AvailabilityZone ZONE = new AvailabilityZone("attica", "attica-a");
+  private static final RoutingSettings SETTINGS =
+      new RoutingSettings(8, 64, 500, 2_000, 10, 150, 1_000);
+  private static final SlotTiming TIMING = new SlotTiming(300, 50);
+  private static final int STEPS = 400;
+
+  @Test
+  void tokenMovesExactlyWhenTheNextHolderJoins() {
+    World world = new World(2, 1);
+    HostSpec next = OwnerRing.order("b", world.specs).getFirst();
+    List<HostSpec> without = world.specs.stream().filter(spec -> !spec.equals(next)).toList();
+    world.hosts.values().forEach(host -> host.membership.setHosts(without));
+    world.timer.advance(1_000);
+    World.Host before = world.holder();
+    for (int i = 0; i < 20; i++) {
+      before.request();
+    }
+
+    world.hosts.values().forEach(host -> host.membership.setHosts(world.specs));
+    world.timer.advance(100);
+
+    assertThat(world.holder().id()).isEqualTo(next.id()).isNotEqualTo(before.id());
+    assertThat(world.holder().router.ledger().used("b")).isBetween(world.running, 8);
+    assertThat(world.peak).isEqualTo(8);
+  }
+
+  @Test
+  void killedHolderIsReplacedOnceItsRequestsMustHaveEnded() {
+    World world = new World(2, 1);
+    world.timer.advance(1_000);
+    World.Host killed = world.holder();
+    killed.kill();
+    List<HostSpec> left =
+        world.specs.stream().filter(spec -> !spec.id().equals(killed.id())).toList();
+    world.hosts.values().forEach(host -> host.membership.setHosts(left));
+
+    world.timer.advance(300);
+    assertThat(world.hosts.values().stream().anyMatch(World.Host::holds)).isFalse();
+    world.timer.advance(500);
+
+    assertThat(world.holder().router.ledger().used("b")).isZero();
+  }
+
+  @Test
+  void hostWithoutStandingStartsNothing() {
+    World world = new World(1, 1);
+    world.timer.advance(1_000);
+    world.holder().membership.setStanding(false);
+
+    world.addRequests(3);
+
+    assertThat(world.running).isZero();
+  }
+
+  /** Interleaves requests, membership changes, cuts, kills, restarts and pauses of hosts. */
+  @Property(tries = 150, seed = "7261")
+  void sumOfSlotsInUseNeverPassesTheLimit(@ForAll long seed) {
+    World world = new World(4, seed);
+    for (int i = 0; i < STEPS; i++) {
+      world.randomStep();
+      assertThat(world.running).isLessThanOrEqualTo(8);
+    }
+  }
+
+  /** Some entry hosts, one backend server that counts what runs, and faults. */
+  private static final class World {
+    private final ManualTimerService timer = new ManualTimerService(0);
+    private final Random random;
+    private final MemoryPeerNetwork network;
+    private final Map<String, Host> hosts = new HashMap<>();
+    private final List<HostSpec> specs = new ArrayList<>();
+    private Optional<HostSpec> absent = Optional.empty();
+    private int running;
+    private int peak;
+    private int requests;
+
+    World(int count, long seed) {
+      random = new Random(seed);
+      network = new MemoryPeerNetwork(timer, (from, to) -> 1 + random.nextInt(20));
+      for (int i = 0; i < count; i++) {
+        specs.add(new HostSpec("e" + i, "127.0.0.1:" + i, ZONE));
+      }
+      specs.forEach(spec -> hosts.put(spec.id(), new Host(spec)));
+    }
+
+    Host holder() {
+      return hosts.values().stream().filter(Host::holds).findFirst().orElseThrow();
+    }
+
+    void addRequests(int count) {
+      for (int i = 0; i < count; i++) {
+        anyHost().request();
+      }
+    }
+
+    void randomStep() {
+      switch (random.nextInt(20)) {
+        case 0 -> network.setCut(anyId(), anyId(), true);
+        case 1, 2 -> network.setCut(anyId(), anyId(), false);
+        case 3 -> timer.skip(random.nextInt(200));
+        case 4 -> leaveOut();
+        case 5 -> rejoin();
+        case 6 -> {
+          if (random.nextInt(10) == 0) {
+            replace(anyId());
+          }
+        }
+        case 7 -> {
+          if (random.nextInt(10) == 0) {
+            anyHost().router.handOver();
+          }
+        }
+        default -> addRequests(random.nextInt(4));
+      }
+      timer.advance(random.nextInt(60));
+    }
+
+    /** Takes one host out of the views of the others, one by one; it loses its standing in time. */
+    private void leaveOut() {
+      if (absent.isPresent()) {
+        return;
+      }
+      HostSpec out = specs.get(random.nextInt(specs.size()));
+      absent = Optional.of(out);
+      List<HostSpec> left = specs.stream().filter(spec -> !spec.equals(out)).toList();
+      hosts.values().forEach(each -> later(500, () -> each.membership.setHosts(left)));
+      later(TIMING.standingMillis(), () -> hosts.get(out.id()).membership.setStanding(false));
+    }
+
+    /** Takes the host that was left out back in, one view after the other. */
+    private void rejoin() {
+      absent.ifPresent(
+          spec -> {
+            hosts.values().forEach(each -> later(500, () -> each.membership.setHosts(specs)));
+            later(500, () -> hosts.get(spec.id()).membership.setStanding(true));
+            timer.advance(500);
+          });
+      absent = Optional.empty();
+    }
+
+    private void later(long mostMillis, Runnable action) {
+      timer.after(Duration.ofMillis(random.nextLong(mostMillis)), action);
+    }
+
+    private void replace(String id) {
+      Host old = hosts.get(id);
+      boolean standing = old.membership.hasStanding();
+      old.kill();
+      Host fresh = new Host(old.membership.self());
+      fresh.membership.setHosts(old.membership.agreedHosts());
+      fresh.membership.setStanding(standing);
+      hosts.put(id, fresh);
+    }
+
+    private String anyId() {
+      return specs.get(random.nextInt(specs.size())).id();
+    }
+
+    private Host anyHost() {
+      return hosts.get(anyId());
+    }
+
+    /** One entry host. */
+    private final class Host {
+      private final FixedMembership membership;
+      private final RequestRouter router;
+      private boolean killed;
+
+      Host(HostSpec spec) {
+        membership = new FixedMembership(spec, List.copyOf(specs));
+        router =
+            new RequestRouter(
+                membership,
+                network.link(spec.id()),
+                timer,
+                () -> SETTINGS,
+                () ->
+                    List.of(
+                        new ListedHost("b", ListedHost.Role.BACKEND, "127.0.0.1:1", ZONE, false)),
+                backend -> CompletableFuture.completedFuture(OptionalInt.of(running)),
+                TIMING,
+                new SimpleMeterRegistry());
+      }
+
+      String id() {
+        return membership.self().id();
+      }
+
+      boolean holds() {
+        return !killed && router.ledger().holdsToken("b");
+      }
+
+      void request() {
+        if (killed) {
+          return;
+        }
+        RoutedRequest request =
+            new RoutedRequest(
+                "r" + requests++,
+                "g" + random.nextInt(3),
+                RequestClass.QUICK,
+                true,
+                timer.monotonicMillis() + random.nextInt(1, 2_000),
+                Set.of());
+        router.admit(request).thenAccept(admission -> run(request, admission));
+      }
+
+      private void run(RoutedRequest request, Admission admission) {
+        if (!(admission instanceof Admission.Granted granted) || killed) {
+          return;
+        }
+        running++;
+        peak = Math.max(peak, running);
+        long left = Math.max(1, request.deadlineMillis() - timer.monotonicMillis());
+        long service = random.nextLong(1, left + 1);
+        timer.after(
+            Duration.ofMillis(service),
+            () -> {
+              running--;
+              if (!killed) {
+                router.finish(granted.hold(), request, new RequestOutcome.Answered(200), service);
+              }
+            });
+      }
+
+      void kill() {
+        killed = true;
+        membership.setStanding(false);
+        router.close();
+        network.remove(id());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/vanillacove/standin/backend/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in backend servers with faults that tests cause. */
+package org.vanillacove.standin.backend;
--- /dev/null
+++ b/transport/src/main/java/org/vanillacove/transport/guest/KeyGuard.java
@@ -0,0 +1,72 @@
+package org.vanillacove.transport.guest;
+
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.ResponseHeaders;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.vanillacove.coordination.routing.KeyVerdict;
+import org.vanillacove.coordination.routing.RequestKeyRegister;
+
+/** Lets a request with an idempotency key run at most once. */
+final class KeyGuard {
+  /** Keys of the cell. */
+  private final RequestKeyRegister register;
+
+  KeyGuard(RequestKeyRegister register) {
+    this.register = register;
+  }
+
+  /** Runs a request unless its key says that it ran or may have run. */
+  CompletableFuture<HttpResponse> guard(
+      GuestRequest guest, Supplier<CompletableFuture<HttpResponse>> run) {
+    if (guest.key().isEmpty() || guest.routed().idempotent()) {
+      return repeatedWithoutKey(guest) ? unknownRepeat() : run.get();
+    }
+    String key = guest.key().get();
+    String id = guest.routed().id();
+    return register
+        .begin(key, id, guest.repeated())
+        .thenCompose(verdict -> decide(verdict, key, id, run));
+  }
+
+  private static boolean repeatedWithoutKey(GuestRequest guest) {
+    return guest.repeated() && !guest.routed().idempotent();
+  }
+
+  private static CompletableFuture<HttpResponse> unknownRepeat() {
+    return CompletableFuture.completedFuture(
+        GuestAnswers.unknown(HttpStatus.CONFLICT, "a repeated attempt needs a key"));
+  }
+
+  private CompletableFuture<HttpResponse> decide(
+      KeyVerdict verdict, String key, String id, Supplier<CompletableFuture<HttpResponse>> run) {
+    return switch (verdict) {
+      case KeyVerdict.First first -> run.get().thenApply(response -> watch(response, key, id));
+      case KeyVerdict.AlreadyRun done ->
+          CompletableFuture.completedFuture(GuestAnswers.alreadyRun("this key ran already"));
+      case KeyVerdict.Undecided undecided ->
+          CompletableFuture.completedFuture(
+              GuestAnswers.unknown(HttpStatus.CONFLICT, undecided.reason()));
+      case KeyVerdict.Unavailable unavailable ->
+          CompletableFuture.completedFuture(
+              GuestAnswers.notRun(HttpStatus.SERVICE_UNAVAILABLE, unavailable.reason(), 1_000));
+    };
+  }
+
+  private HttpResponse watch(HttpResponse response, String key, String id) {
+    return response.mapHeaders(
+        headers -> {
+          register.end(key, id, outcomeOf(headers));
+          return headers;
+        });
+  }
+
+  private static RequestKeyRegister.KeyEnd outcomeOf(ResponseHeaders headers) {
+    return switch (headers.get(GuestHeaders.OUTCOME, GuestHeaders.UNKNOWN)) {
+      case GuestHeaders.RUN -> RequestKeyRegister.KeyEnd.RUN;
+      case GuestHeaders.NOT_RUN -> RequestKeyRegister.KeyEnd.NOT_RUN;
+      default -> RequestKeyRegister.KeyEnd.UNKNOWN;
+    };
+  }
+}
--- /dev/null
+++ b/transport/src/main/java/org/vanillacove/transport/guest/package-info.java
@@ -0,0 +1,2 @@
+/** Guests' HTTP requests: the service at the entry host and the client towards backend servers. */
+package org.vanillacove.transport.guest;
