Assemble the entry host and the local cell

Cause: the parts worked alone; nothing joined them into a process. The writer of the stream now counts its first pause from the clock it is given: with a clock that does not start at zero the difference overflowed and no record was written. Conclusion: the whole path runs in one process.

--- a/bin/build.sh
+++ b/bin/build.sh
@@ -4,7 +4,7 @@
   if [ ! -e "$stamp" ] || [ -n "$(find "$ROOT" -path '*/target' -prune -o \
       \( -path '*/src/main/*' -o -name pom.xml \) -newer "$stamp" -type f -print -quit)" ]; then
     echo "building $1 ..." >&2
-    if ! (cd "$ROOT" && mvn -B -ntp -q -pl "$1" -am -DskipTests package) > "$ROOT/.build.log" 2>&1; then
+    if ! (cd "$ROOT" && mvn -B -ntp -q -pl "$1" -am -Dmaven.test.skip=true package) > "$ROOT/.build.log" 2>&1; then
       cat "$ROOT/.build.log" >&2
       echo "error: the build of $1 failed" >&2
       exit 2
--- a/coordination/src/main/java/org/vanillacove/coordination/stream/StreamWriter.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/stream/StreamWriter.java
@@ -84,7 +84,7 @@
   private long sequence;
 
   /** Monotonic time before which no append begins, in milliseconds. */
-  private long notBeforeMillis = Long.MIN_VALUE;
+  private long notBeforeMillis;
 
   /** Creates a writer; {@code incarnation} tells runs of the host's process apart. */
   public StreamWriter(
@@ -102,6 +102,7 @@
     this.timings = timings;
     this.hostId = hostId;
     this.writerId = hostId + "-" + incarnation;
+    this.notBeforeMillis = timer.monotonicMillis();
   }
 
   /** Returns the identifier under which this run of the host writes. */
--- /dev/null
+++ b/daemon/src/main/java/org/vanillacove/daemon/host/EntryHost.java
@@ -0,0 +1,293 @@
+package org.vanillacove.daemon.host;
+
+import com.google.common.flogger.FluentLogger;
+import com.linecorp.armeria.common.SessionProtocol;
+import com.linecorp.armeria.server.Server;
+import com.linecorp.armeria.server.ServerBuilder;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.vanillacove.coordination.cell.CellNode;
+import org.vanillacove.coordination.configuration.ConfigurationService;
+import org.vanillacove.coordination.operator.OperatorChannel;
+import org.vanillacove.coordination.routing.RequestKeyRegister;
+import org.vanillacove.coordination.routing.RequestRouter;
+import org.vanillacove.coordination.timeline.RingTimelineRecorder;
+import org.vanillacove.coordination.timeline.TimelineService;
+import org.vanillacove.coordination.timer.ScheduledTimerService;
+import org.vanillacove.protocol.peer.PeerLink;
+import org.vanillacove.protocol.settings.DaemonSettings;
+import org.vanillacove.protocol.timer.TimerService;
+import org.vanillacove.state.api.PlacementSettings;
+import org.vanillacove.state.api.RoutingSettings;
+import org.vanillacove.state.placement.PolicyPlacer;
+import org.vanillacove.transport.guest.BackendClient;
+import org.vanillacove.transport.guest.GuestLimits;
+import org.vanillacove.transport.guest.GuestServer;
+import org.vanillacove.transport.operator.OperatorDependencies;
+import org.vanillacove.transport.operator.OperatorService;
+import org.vanillacove.transport.operator.access.TokenAuthority;
+import org.vanillacove.transport.peer.NettyPeerLink;
+import org.vanillacove.transport.peer.PeerLinkSettings;
+import org.vanillacove.transport.platform.HttpHostList;
+import org.vanillacove.transport.platform.HttpPlatformLog;
+import org.vanillacove.transport.platform.HttpWorkerGateway;
+import org.vanillacove.transport.platform.PlatformClient;
+
+/** An entry host: all parts of one vanillacoved process, assembled from its settings. */
+public final class EntryHost implements AutoCloseable {
+  /** Logger. */
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Time within which a call to the platform or a worker ends. */
+  private static final Duration PLATFORM_DEADLINE = Duration.ofSeconds(2);
+
+  /** Period at which expired exceptions are looked for. */
+  private static final Duration CONFIGURATION_PERIOD = Duration.ofSeconds(1);
+
+  /** Events that the time line keeps on one host. */
+  private static final int TIMELINE_EVENTS = 20_000;
+
+  /** Settings of this host. */
+  private final DaemonSettings settings;
+
+  /** Source of time. */
+  private final ScheduledTimerService timer = new ScheduledTimerService();
+
+  /** Metrics. */
+  private final PrometheusMeterRegistry meters =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+  /** Closed in reverse order at the end. */
+  private final Deque<AutoCloseable> resources = new ArrayDeque<>();
+
+  /** The node of the cell. */
+  private final CellNode node;
+
+  /** The configuration. */
+  private final ConfigurationService configuration;
+
+  /** Decides where requests run. */
+  private final RequestRouter router;
+
+  /** The guests' service. */
+  private final GuestServer guestServer;
+
+  /** HTTP server of the guests' port. */
+  private final Server guestHttp;
+
+  /** HTTP server of the operators' port. */
+  private final Server operatorHttp;
+
+  /** Whether a graceful shutdown has begun. */
+  private final AtomicBoolean draining = new AtomicBoolean();
+
+  /** Placement values that were last handed to the node. */
+  private PlacementSettings placement = PlacementSettings.DEFAULTS;
+
+  /**
+   * Assembles a host; it does nothing before {@link #start}.
+   *
+   * @throws HostStartException if a key file cannot be read or an address cannot be used
+   */
+  public EntryHost(DaemonSettings settings) throws HostStartException {
+    this.settings = settings;
+    keep(timer);
+    HostTls tls = HostTls.of(settings.tls(), timer);
+    keep(tls);
+    RingTimelineRecorder recorder =
+        new RingTimelineRecorder(settings.hostId(), timer, TIMELINE_EVENTS);
+    PeerLink link = openLink(tls);
+    PlatformClient platform = platformClient(settings.platform().log());
+    PlatformClient hosts = platformClient(settings.platform().hostList());
+    PlatformClient workers = platformClient(settings.platform().workerList());
+    HttpHostList hostList = new HttpHostList(hosts);
+    HttpWorkerGateway gateway = keep(new HttpWorkerGateway(workers, PLATFORM_DEADLINE));
+    node =
+        keep(
+            new CellNode(
+                settings.host(),
+                settings.seeds(),
+                new HttpPlatformLog(platform),
+                gateway,
+                hostList,
+                link,
+                timer,
+                recorder,
+                PolicyPlacer::new,
+                TimingMapper.cellTimings(settings.timings())));
+    OperatorChannel channel = new OperatorChannel(link, node);
+    configuration = new ConfigurationService(node, node, channel, settings.hostId(), timer);
+    BackendListPoller backends =
+        keep(
+            new BackendListPoller(
+                hostList, timer, Duration.ofMillis(settings.timings().pollMillis())));
+    BackendClient client = keep(new BackendClient(GuestLimits.DEFAULTS, SessionProtocol.H2C));
+    router =
+        new RequestRouter(
+            node,
+            link,
+            timer,
+            this::routing,
+            backends,
+            client,
+            TimingMapper.slotTiming(settings.timings()),
+            meters);
+    guestServer =
+        new GuestServer(
+            router,
+            new RequestKeyRegister(node, link, timer),
+            client,
+            timer,
+            GuestLimits.DEFAULTS,
+            () -> routing().defaultDeadlineMillis());
+    guestHttp = guestHttp(tls);
+    operatorHttp = operatorHttp(tls, recorder, new TimelineService(recorder, channel), timer);
+  }
+
+  /**
+   * Starts all parts and opens the ports.
+   *
+   * @throws HostStartException if an address cannot be used
+   */
+  public void start() throws HostStartException {
+    node.onConfiguration(version -> applyPlacement());
+    timer.every(CONFIGURATION_PERIOD, this::applyPlacement);
+    node.start();
+    open(operatorHttp, "listen.operator");
+    open(guestHttp, "listen.guest");
+    logger.atInfo().log(
+        "host: %s listens, operators %s, guests %s",
+        settings.hostId(), settings.listen().operator(), settings.listen().guest());
+  }
+
+  /** Returns whether this host takes requests and changes. */
+  public boolean isReady() {
+    return !draining.get() && node.isCaughtUp() && node.hasStanding();
+  }
+
+  /** Returns the node of the cell. */
+  public CellNode node() {
+    return node;
+  }
+
+  /** Returns the router of requests. */
+  public RequestRouter router() {
+    return router;
+  }
+
+  /** Leaves gracefully: no request in progress is cut off; completes when all has ended. */
+  public CompletableFuture<Void> drain() {
+    if (!draining.compareAndSet(false, true)) {
+      return CompletableFuture.completedFuture(null);
+    }
+    logger.atInfo().log("host: %s leaves", settings.hostId());
+    return guestServer
+        .drain(guestHttp::stop)
+        .thenCompose(drained -> node.leave())
+        .thenCompose(left -> operatorHttp.stop())
+        .orTimeout(settings.timings().drainMillis(), TimeUnit.MILLISECONDS)
+        .exceptionally(this::logUnfinished)
+        .thenRun(this::closeResources);
+  }
+
+  /** Ends at once, as a crash does. */
+  @Override
+  public void close() {
+    draining.set(true);
+    node.close();
+    guestHttp.closeAsync();
+    operatorHttp.closeAsync();
+    closeResources();
+  }
+
+  private Void logUnfinished(Throwable error) {
+    logger.atWarning().log("host: %s leaves unfinished: %s", settings.hostId(), error);
+    return null;
+  }
+
+  private synchronized void applyPlacement() {
+    PlacementSettings current = configuration.inForce().effective().placement();
+    if (!current.equals(placement)) {
+      placement = current;
+      node.configurePlacement(current);
+    }
+  }
+
+  private RoutingSettings routing() {
+    return configuration.inForce().effective().routing(settings.zone().region());
+  }
+
+  private PeerLink openLink(HostTls tls) throws HostStartException {
+    PeerLinkSettings link = PeerLinkSettings.of(settings.hostId(), settings.listen().peer());
+    try {
+      return keep(
+          tls.peer()
+              .map(keys -> new NettyPeerLink(link, timer, meters, SecureRandom::new, keys))
+              .orElseGet(() -> new NettyPeerLink(link, timer, meters, SecureRandom::new)));
+    } catch (RuntimeException e) {
+      closeResources();
+      throw new HostStartException("listen.peer", settings.listen().peer(), e);
+    }
+  }
+
+  private PlatformClient platformClient(String address) {
+    return keep(new PlatformClient(address, PLATFORM_DEADLINE, timer));
+  }
+
+  private Server guestHttp(HostTls tls) throws HostStartException {
+    ServerBuilder builder = Server.builder();
+    ServerPorts.add(builder, "listen.guest", settings.listen().guest(), tls.guest(), false);
+    guestServer.configure(builder);
+    return builder.build();
+  }
+
+  private Server operatorHttp(
+      HostTls tls, RingTimelineRecorder recorder, TimelineService timeline, TimerService clock)
+      throws HostStartException {
+    ServerBuilder builder = Server.builder();
+    ServerPorts.add(
+        builder, "listen.operator", settings.listen().operator(), tls.operator(), false);
+    TokenAuthority authority = new TokenAuthority(settings.tokens(), clock, new SecureRandom());
+    OperatorDependencies dependencies =
+        new OperatorDependencies(
+            node, node, node, configuration, timeline, recorder, meters, authority, this::isReady);
+    new OperatorService(dependencies).addTo(builder);
+    return builder.build();
+  }
+
+  private void open(Server server, String field) throws HostStartException {
+    try {
+      server.start().join();
+    } catch (CompletionException e) {
+      close();
+      throw new HostStartException(field, "cannot listen", e.getCause());
+    }
+  }
+
+  private <T extends AutoCloseable> T keep(T resource) {
+    resources.push(resource);
+    return resource;
+  }
+
+  private void closeResources() {
+    while (!resources.isEmpty()) {
+      closeOne(resources.pop());
+    }
+  }
+
+  private static void closeOne(AutoCloseable resource) {
+    try {
+      resource.close();
+    } catch (Exception e) {
+      logger.atWarning().withCause(e).log("host: a part did not close");
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillacove/daemon/host/TimingMapper.java
@@ -0,0 +1,40 @@
+package org.vanillacove.daemon.host;
+
+import java.time.Duration;
+import org.vanillacove.coordination.api.CellTimings;
+import org.vanillacove.coordination.routing.SlotTiming;
+import org.vanillacove.protocol.settings.DaemonSettings.TimingSettings;
+
+/** Maps the timings of the settings to those of the parts. */
+final class TimingMapper {
+  /** Heartbeats that may be missed before a host is suspected. */
+  private static final int HEARTBEATS_TO_SUSPICION = 4;
+
+  /** Renewals within one lease. */
+  private static final int RENEWALS_PER_LEASE = 3;
+
+  private TimingMapper() {}
+
+  /** Returns the times of the cell. */
+  static CellTimings cellTimings(TimingSettings settings) {
+    CellTimings defaults = CellTimings.DEFAULTS;
+    return new CellTimings(
+        Duration.ofMillis(settings.heartbeatMillis()),
+        Duration.ofMillis(settings.heartbeatMillis() * HEARTBEATS_TO_SUSPICION),
+        Duration.ofMillis(settings.standingMillis()),
+        Duration.ofMillis(settings.workerLeaseMillis()),
+        Duration.ofMillis(settings.driftMarginMillis()),
+        Duration.ofMillis(settings.workerLeaseMillis() / RENEWALS_PER_LEASE),
+        Duration.ofMillis(settings.batchMillis()),
+        defaults.tail(),
+        defaults.decision(),
+        Duration.ofMillis(settings.pollMillis()),
+        defaults.hostRemoval(),
+        Duration.ofMillis(settings.snapshotMillis()));
+  }
+
+  /** Returns the times of slots. */
+  static SlotTiming slotTiming(TimingSettings settings) {
+    return new SlotTiming(settings.standingMillis(), settings.driftMarginMillis());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillacove/daemon/local/LocalCell.java
@@ -0,0 +1,126 @@
+package org.vanillacove.daemon.local;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.stream.IntStream;
+import org.vanillacove.coordination.timer.ScheduledTimerService;
+import org.vanillacove.daemon.host.EntryHost;
+import org.vanillacove.daemon.host.HostStartException;
+import org.vanillacove.protocol.settings.DaemonSettings;
+import org.vanillacove.protocol.settings.DaemonSettings.ListenAddresses;
+import org.vanillacove.protocol.settings.DaemonSettings.PlatformAddresses;
+import org.vanillacove.protocol.settings.DaemonSettings.TimingSettings;
+import org.vanillacove.protocol.settings.DaemonSettings.TlsSettings;
+import org.vanillacove.state.api.AvailabilityZone;
+import org.vanillacove.state.api.HostSpec;
+
+/** Three entry hosts and the stand-ins of the platform in one process. */
+public final class LocalCell implements AutoCloseable {
+  /** Number of entry hosts. */
+  private static final int HOSTS = 3;
+
+  /** Ports. */
+  private final LocalPorts ports;
+
+  /** Source of time of the stand-ins. */
+  private final ScheduledTimerService timer = new ScheduledTimerService();
+
+  /** The platform. */
+  private final LocalPlatform platform;
+
+  /** Entry hosts. */
+  private final List<EntryHost> hosts = new ArrayList<>();
+
+  /**
+   * Starts the cell.
+   *
+   * @throws HostStartException if a port cannot be used
+   */
+  public LocalCell(int portBase) throws HostStartException {
+    ports = new LocalPorts(portBase);
+    platform = startPlatform();
+    for (int index = 0; index < HOSTS; index++) {
+      startHost(index);
+    }
+  }
+
+  /** Returns whether every entry host is ready and one of them leads. */
+  public boolean isReady() {
+    return hosts.stream().allMatch(EntryHost::isReady)
+        && hosts.stream().anyMatch(host -> host.node().isLeader())
+        && hosts.getFirst().node().workers().size() == platform.workers().size();
+  }
+
+  /** Returns the line that says where the cell can be reached. */
+  public String readyLine() {
+    return "ready operator=" + ports.operator(0) + " guest=" + ports.guest(0);
+  }
+
+  /** Returns the entry hosts. */
+  public List<EntryHost> hosts() {
+    return List.copyOf(hosts);
+  }
+
+  /** Returns the platform. */
+  public LocalPlatform platform() {
+    return platform;
+  }
+
+  /** Ends gracefully, one host after the other. */
+  public void drain() {
+    for (EntryHost host : hosts) {
+      host.drain().join();
+    }
+    close();
+  }
+
+  @Override
+  public void close() {
+    hosts.forEach(EntryHost::close);
+    platform.close();
+    timer.close();
+  }
+
+  private LocalPlatform startPlatform() throws HostStartException {
+    try {
+      return new LocalPlatform(ports.platform(), ports::worker, timer);
+    } catch (CompletionException e) {
+      timer.close();
+      throw new HostStartException("--port-base", "a port cannot be used", e);
+    }
+  }
+
+  private void startHost(int index) throws HostStartException {
+    try {
+      EntryHost host = new EntryHost(settings(index));
+      hosts.add(host);
+      host.start();
+    } catch (HostStartException e) {
+      close();
+      throw e;
+    }
+  }
+
+  private DaemonSettings settings(int index) {
+    AvailabilityZone zone = LocalPlatform.zoneOfHost(index);
+    String address = platform.address();
+    return new DaemonSettings(
+        hostId(index),
+        zone,
+        new ListenAddresses(ports.guest(index), ports.operator(index), ports.peer(index)),
+        new PlatformAddresses(address, address, address),
+        IntStream.range(0, HOSTS).mapToObj(this::spec).toList(),
+        TlsSettings.NONE,
+        List.of(),
+        TimingSettings.DEFAULTS);
+  }
+
+  private HostSpec spec(int index) {
+    return new HostSpec(hostId(index), ports.peer(index), LocalPlatform.zoneOfHost(index));
+  }
+
+  private static String hostId(int index) {
+    return "host-" + (index + 1);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/vanillacove/daemon/local/LocalPorts.java
@@ -0,0 +1,54 @@
+package org.vanillacove.daemon.local;
+
+/**
+ * Ports of a local cell, all on the loopback address.
+ *
+ * @param base first port
+ */
+record LocalPorts(int base) {
+  /** Distance between the ranges of the kinds of port. */
+  private static final int RANGE = 100;
+
+  /** Highest port of a local cell above its base. */
+  private static final int SPAN = 4 * RANGE;
+
+  /** Largest port. */
+  private static final int MAX_PORT = 65_535;
+
+  /** Checks the base. */
+  LocalPorts {
+    if (base < 1 || base + SPAN > MAX_PORT) {
+      throw new IllegalArgumentException(
+          "--port-base: must be from 1 to " + (MAX_PORT - SPAN) + ", not " + base);
+    }
+  }
+
+  /** Returns the address of the operators' port of a host. */
+  String operator(int host) {
+    return address(host);
+  }
+
+  /** Returns the address of the guests' port of a host. */
+  String guest(int host) {
+    return address(RANGE + host);
+  }
+
+  /** Returns the address of the peer link of a host. */
+  String peer(int host) {
+    return address(2 * RANGE + host);
+  }
+
+  /** Returns the port of the platform. */
+  int platform() {
+    return base + 3 * RANGE;
+  }
+
+  /** Returns the port of a worker. */
+  int worker(int worker) {
+    return platform() + 1 + worker;
+  }
+
+  private String address(int offset) {
+    return "127.0.0.1:" + (base + offset);
+  }
+}
