--- a/transport/src/test/java/org/vanillacove/transport/guest/EntryCell.java
+++ b/transport/src/test/java/org/vanillacove/transport/guest/EntryCell.java
@@ -147,12 +147,12 @@
 
   @Override
   public void close() {
+    guests.close();
     List<CompletableFuture<Void>> stops =
         hosts.values().stream().map(host -> host.server.stop()).toList();
     stops.forEach(stop -> stop.orTimeout(10, TimeUnit.SECONDS).exceptionally(e -> null).join());
     hosts.values().forEach(host -> host.router.close());
     hosts.values().forEach(host -> host.client.close());
-    guests.close();
     timer.close();
   }
 }
--- /dev/null
+++ b/transport/src/test/java/org/vanillacove/transport/guest/EntryHostFaultTest.java
@@ -0,0 +1,143 @@
+package org.vanillacove.transport.guest;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.SessionProtocol;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.vanillacove.standin.backend.BackendServer;
+import org.vanillacove.state.api.HostSpec;
+
+/** Tests entry hosts that leave, die or lose their peers, and backend servers that leave. */
+class EntryHostFaultTest {
+  private final BackendServer first = new BackendServer("b1", EntryCell.ZONE, 8);
+  private final BackendServer second = new BackendServer("b2", EntryCell.ZONE, 8);
+  private final EntryCell cell =
+      new EntryCell(3, SessionProtocol.HTTP, List.of(first::listed, second::listed));
+
+  @AfterEach
+  void close() {
+    cell.close();
+    first.close();
+    second.close();
+  }
+
+  @Test
+  void shutdownUnderLoadCutsOffNothing() {
+    EntryCell.Host leaving = cell.host(1);
+    List<CompletableFuture<AggregatedHttpResponse>> answers = requests(leaving, 1_000, 10);
+    await().until(() -> leaving.guest.inProgress() > 900);
+
+    CompletableFuture<Void> drained = leaving.guest.drain(leaving.server::stop);
+
+    drained.join();
+    assertThat(answers).allMatch(each -> each.join().status().code() == 200);
+    assertThat(first.runCount() + second.runCount()).isEqualTo(1_000);
+    assertThat(first.overflows() + second.overflows()).isZero();
+    assertThat(leaving.holds(first.listed()) || leaving.holds(second.listed())).isFalse();
+  }
+
+  @Test
+  void killedEntryHostsSlotsAreUsedAgainWithoutOverflow() {
+    EntryCell.Host killed = holderOf(first);
+    requests(killed, 30, 300);
+    await().until(() -> first.running() > 0);
+
+    killed.kill();
+    List<HostSpec> left =
+        killed.membership.agreedHosts().stream()
+            .filter(spec -> !spec.id().equals(killed.membership.self().id()))
+            .toList();
+    cell.hosts().forEach(host -> host.membership.setHosts(left));
+
+    await().until(() -> holderOf(first) != killed);
+    List<CompletableFuture<AggregatedHttpResponse>> answers = requests(holderOf(first), 50, 10);
+    assertThat(answers).allMatch(each -> each.join().status().code() == 200);
+    assertThat(first.overflows() + second.overflows()).isZero();
+  }
+
+  @Test
+  void silentPeerLinkLeavesOwnSlotsInUse() {
+    for (EntryCell.Host from : cell.hosts()) {
+      for (EntryCell.Host to : cell.hosts()) {
+        String source = from.membership.self().id();
+        cell.network().setCut(source, to.membership.self().id(), true);
+      }
+    }
+
+    List<CompletableFuture<AggregatedHttpResponse>> answers = requests(holderOf(first), 50, 10);
+
+    assertThat(answers).allMatch(each -> each.join().status().code() == 200);
+    assertThat(first.overflows() + second.overflows()).isZero();
+  }
+
+  @Test
+  void leavingBackendServerGetsNothingNewWithinTwoSeconds() {
+    first.setLeaving(true);
+    await()
+        .atMost(Duration.ofSeconds(2))
+        .until(
+            () ->
+                cell.hosts().stream()
+                    .allMatch(
+                        host -> host.router.backend("b1").filter(b -> b.leaving()).isPresent()));
+    int before = first.runCount();
+
+    cell.hosts().forEach(host -> requests(host, 30, 1).forEach(CompletableFuture::join));
+
+    assertThat(first.runCount()).isEqualTo(before);
+    assertThat(second.runCount()).isEqualTo(90);
+  }
+
+  @Test
+  void keyRunsOnceThroughUnlikeEntryHosts() {
+    String[] key = {GuestHeaders.KEY.toString(), "order-7"};
+
+    AggregatedHttpResponse one = cell.host(1).post("/work", "x", key).join();
+    AggregatedHttpResponse two = cell.host(2).post("/work", "x", key).join();
+
+    assertThat(one.headers().get(GuestHeaders.OUTCOME)).isEqualTo(GuestHeaders.RUN);
+    assertThat(two.status().code()).isEqualTo(409);
+    assertThat(two.headers().get(GuestHeaders.OUTCOME)).isEqualTo(GuestHeaders.RUN);
+    assertThat(first.runCount() + second.runCount()).isEqualTo(1);
+  }
+
+  @Test
+  void repeatedAttemptWithoutRecordIsUnknownAndDoesNotRun() {
+    AggregatedHttpResponse answer =
+        cell.host(1)
+            .post(
+                "/work",
+                "x",
+                GuestHeaders.KEY.toString(),
+                "order-8",
+                GuestHeaders.REPEATED.toString(),
+                "true")
+            .join();
+
+    assertThat(answer.headers().get(GuestHeaders.OUTCOME)).isEqualTo(GuestHeaders.UNKNOWN);
+    assertThat(first.runCount() + second.runCount()).isZero();
+  }
+
+  private EntryCell.Host holderOf(BackendServer backend) {
+    return cell.hosts().stream()
+        .filter(host -> host.membership.hasStanding() && host.holds(backend.listed()))
+        .findFirst()
+        .orElse(cell.hosts().getFirst());
+  }
+
+  private static List<CompletableFuture<AggregatedHttpResponse>> requests(
+      EntryCell.Host host, int count, int millis) {
+    List<CompletableFuture<AggregatedHttpResponse>> answers = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      answers.add(host.post("/work?millis=" + millis, "x"));
+    }
+    return answers;
+  }
+}
