--- a/cli/src/main/java/org/vanillacove/cli/Vanillacove.java
+++ b/cli/src/main/java/org/vanillacove/cli/Vanillacove.java
@@ -50,7 +50,7 @@
 
   /** Address of an entry host. */
   @Option(name = "--server", metaVar = "HOST:PORT", usage = "operators' port of an entry host")
-  private String server = "127.0.0.1:7070";
+  private String server = "127.0.0.1:7400";
 
   /** File with the token. */
   @Option(name = "--token-file", metaVar = "FILE", usage = "file that holds the token")
