--- a/coordination/src/main/java/org/vanillacove/coordination/cell/AdmissionCheck.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/cell/AdmissionCheck.java
@@ -10,10 +10,15 @@
 import org.vanillacove.state.api.JobSpec;
 import org.vanillacove.state.api.Placer;
 import org.vanillacove.state.api.RecordEnvelope;
+import org.vanillacove.state.api.WorkerStatus;
 import org.vanillacove.state.cell.CellState;
 import org.vanillacove.state.cell.FoldOutcome;
+import org.vanillacove.state.cell.WorkerState;
 
-/** Tells on any host whether a job could ever run on the workers of the cell. */
+/**
+ * Tells on any host whether a job could ever run on the workers of the cell; drained ones count,
+ * since they may take tasks again.
+ */
 final class AdmissionCheck implements FoldListener {
   /** The folded state. */
   private final CellStore store;
@@ -69,13 +74,11 @@
 
   private Placer build(CellState state) {
     Placer built = placers.get();
-    state
-        .workers()
-        .forEach(
-            worker -> {
-              built.addWorker(worker.spec());
-              built.setWorkerStatus(worker.spec().id(), worker.status());
-            });
+    for (WorkerState worker : state.workers()) {
+      if (worker.status() != WorkerStatus.LOST) {
+        built.addWorker(worker.spec());
+      }
+    }
     return built;
   }
 }
