Measure what control costs each host

Cause: the control budget had no measurement. Change: bench control, by role and size, over fakes on a clock set by hand.

--- a/bench/src/main/java/org/vanillacove/bench/BenchMain.java
+++ b/bench/src/main/java/org/vanillacove/bench/BenchMain.java
@@ -8,6 +8,7 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
+import org.vanillacove.bench.control.ControlBench;
 import org.vanillacove.bench.faults.FaultsBench;
 import org.vanillacove.bench.placement.PlacementBench;
 import org.vanillacove.bench.policy.PolicyBench;
@@ -19,6 +20,7 @@
   private static final Map<String, Supplier<Bench>> BENCHES = new TreeMap<>();
 
   static {
+    BENCHES.put("control", ControlBench::new);
     BENCHES.put("faults", FaultsBench::new);
     BENCHES.put("recovery", RecoveryBench::new);
     BENCHES.put("placement", PlacementBench::new);
--- /dev/null
+++ b/bench/src/main/java/org/vanillacove/bench/control/ControlBench.java
@@ -0,0 +1,197 @@
+package org.vanillacove.bench.control;
+
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import java.util.stream.IntStream;
+import org.vanillacove.bench.Bench;
+import org.vanillacove.coordination.api.CellTimings;
+import org.vanillacove.coordination.cell.CellNode;
+import org.vanillacove.standin.memory.ManualTimerService;
+import org.vanillacove.standin.memory.MemoryLog;
+import org.vanillacove.standin.memory.MemoryPeerNetwork;
+import org.vanillacove.standin.memory.MemoryWorkerGateway;
+import org.vanillacove.standin.memory.WorkerModel;
+import org.vanillacove.state.api.AvailabilityZone;
+import org.vanillacove.state.api.HostSpec;
+import org.vanillacove.state.api.JobSpec;
+import org.vanillacove.state.api.LossPolicy;
+import org.vanillacove.state.api.PlacementConstraints;
+import org.vanillacove.state.api.PriorityClass;
+import org.vanillacove.state.api.RerunPolicy;
+import org.vanillacove.state.api.Resources;
+import org.vanillacove.state.api.TaskOutcome;
+import org.vanillacove.state.api.WorkerSpec;
+import org.vanillacove.state.api.WorkloadKind;
+import org.vanillacove.state.placement.PolicyPlacer;
+
+/**
+ * Measures processor time, live memory and bytes of control by role, at parts of the planned size,
+ * over fakes on a clock set by hand. Processor time of the fakes counts too.
+ */
+public final class ControlBench implements Bench {
+  /** Workers of the planned size. */
+  private static final int WORKERS = 560;
+
+  /** Running tasks of the planned size. */
+  private static final int TASKS = 7_100;
+
+  /** Starts in a second at the peak of the planned size. */
+  private static final double STARTS_PER_SECOND = 32;
+
+  /** Entry hosts. */
+  private static final int HOSTS = 9;
+
+  /** Length of a measurement in seconds of the clock. */
+  private static final int SECONDS = 30;
+
+  /** Run time of the tasks of the load in milliseconds. */
+  private static final long RUN_MILLIS = 10_000;
+
+  /** Deadline of submissions. */
+  private static final Duration DEADLINE = Duration.ofSeconds(10);
+
+  /** Parts of the planned size, as divisors. */
+  private static final int[] DIVISORS = {8, 4, 2, 1};
+
+  /** Logger of the parts under test, kept so that its level stays. */
+  private static final Logger PARTS = Logger.getLogger("org.vanillacove.coordination");
+
+  /** Creates the bench. */
+  public ControlBench() {}
+
+  @Override
+  public Map<String, Object> run(long seed) {
+    PARTS.setLevel(Level.OFF);
+    Map<String, Object> figures = new LinkedHashMap<>();
+    for (int divisor : DIVISORS) {
+      measure(divisor, figures);
+    }
+    return figures;
+  }
+
+  private static void measure(int divisor, Map<String, Object> figures) {
+    ManualTimerService clock = new ManualTimerService(1_700_000_000_000L);
+    MemoryLog log = new MemoryLog();
+    MemoryPeerNetwork network = new MemoryPeerNetwork(clock, (from, to) -> 30);
+    MemoryWorkerGateway gateway = new MemoryWorkerGateway();
+    for (int i = 0; i < WORKERS / divisor; i++) {
+      gateway.add(new WorkerModel(worker(i), clock, start -> plan(start.command())));
+    }
+    long fakes = liveBytes();
+    Map<String, MeteredHost> meters = new TreeMap<>();
+    Map<String, CellNode> nodes = new TreeMap<>();
+    List<HostSpec> hosts =
+        IntStream.range(0, HOSTS)
+            .mapToObj(i -> new HostSpec("h" + i, "127.0.0.1:" + (7_000 + i), zone(i)))
+            .toList();
+    for (HostSpec host : hosts) {
+      MeteredHost meter = new MeteredHost();
+      CellNode node =
+          new CellNode(
+              host,
+              hosts,
+              meter.log(log),
+              meter.gateway(gateway),
+              () -> CompletableFuture.completedFuture(Optional.of(List.of())),
+              meter.link(network.link(host.id())),
+              meter.timer(clock),
+              (kind, subject, text) -> {},
+              PolicyPlacer::new,
+              CellTimings.DEFAULTS);
+      meters.put(host.id(), meter);
+      nodes.put(host.id(), node);
+      node.start();
+    }
+    clock.advance(10_000);
+    CellNode leader =
+        nodes.values().stream().filter(CellNode::isLeader).findFirst().orElseThrow();
+    String leaderId = leader.self().id();
+    leader.submitJob("base", job("stays", TASKS / divisor), DEADLINE);
+    clock.advance(30_000);
+    Map<String, long[]> begun = new TreeMap<>();
+    meters.forEach((id, meter) -> begun.put(id, new long[] {meter.cpuNanos(), meter.bytes()}));
+    load(clock, nodes.values().iterator().next(), STARTS_PER_SECOND / divisor);
+    double cpu = 0;
+    double bytes = 0;
+    for (Map.Entry<String, MeteredHost> entry : meters.entrySet()) {
+      long[] start = begun.get(entry.getKey());
+      double corePct = (entry.getValue().cpuNanos() - start[0]) / 1e9 / SECONDS * 100;
+      double rate = (entry.getValue().bytes() - start[1]) / (double) SECONDS;
+      if (entry.getKey().equals(leaderId)) {
+        figures.put("leader_core_pct_1_" + divisor, corePct);
+        figures.put("leader_bytes_per_s_1_" + divisor, rate);
+      } else {
+        cpu = Math.max(cpu, corePct);
+        bytes = Math.max(bytes, rate);
+      }
+    }
+    figures.put("holder_core_pct_1_" + divisor, cpu);
+    figures.put("holder_bytes_per_s_1_" + divisor, bytes);
+    long live = liveBytes() - fakes;
+    figures.put("memory_mb_per_node_1_" + divisor, live / 1e6 / HOSTS);
+    figures.put("running_1_" + divisor, running(leader));
+    nodes.values().forEach(CellNode::close);
+  }
+
+  private static void load(ManualTimerService clock, CellNode node, double startsPerSecond) {
+    int jobs = (int) (startsPerSecond * SECONDS);
+    for (int i = 0; i < jobs; i++) {
+      node.submitJob("load-" + i, job("ends", 1), DEADLINE);
+      clock.advance((long) (1_000 / startsPerSecond));
+    }
+  }
+
+  private static int running(CellNode node) {
+    return node.workers().stream().mapToInt(worker -> worker.runningTasks()).sum();
+  }
+
+  private static Optional<WorkerModel.PlannedEnd> plan(String command) {
+    return command.equals("ends")
+        ? Optional.of(new WorkerModel.PlannedEnd(RUN_MILLIS, TaskOutcome.SUCCEEDED))
+        : Optional.empty();
+  }
+
+  private static WorkerSpec worker(int i) {
+    return new WorkerSpec(
+        "worker-" + i,
+        "127.0.0.1:1",
+        zone(i),
+        "rack-" + i / 8,
+        new Resources(64_000, 262_144, 0),
+        Optional.empty(),
+        Map.of());
+  }
+
+  private static AvailabilityZone zone(int i) {
+    return new AvailabilityZone("region-" + i % 3, "zone-" + i % 3 + "-" + i / 3 % 3);
+  }
+
+  private static JobSpec job(String command, int tasks) {
+    return new JobSpec(
+        "moulding-plan",
+        "team-17",
+        WorkloadKind.BATCH,
+        PriorityClass.NORMAL,
+        tasks,
+        new Resources(2_000, 4_096, 0),
+        PlacementConstraints.ANY,
+        RerunPolicy.RERUN,
+        LossPolicy.MOVE,
+        false,
+        RUN_MILLIS,
+        command);
+  }
+
+  private static long liveBytes() {
+    System.gc();
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/org/vanillacove/bench/control/package-info.java
@@ -0,0 +1,2 @@
+/** Measures what control costs each host. */
+package org.vanillacove.bench.control;
