--- a/bench/src/main/java/org/vanillacove/bench/BenchMain.java
+++ b/bench/src/main/java/org/vanillacove/bench/BenchMain.java
@@ -11,6 +11,7 @@
 import org.vanillacove.bench.faults.FaultsBench;
 import org.vanillacove.bench.placement.PlacementBench;
 import org.vanillacove.bench.policy.PolicyBench;
+import org.vanillacove.bench.recovery.RecoveryBench;
 
 /** Runs a bench by name and prints its figures as one JSON object. */
 public final class BenchMain {
@@ -19,6 +20,7 @@
 
   static {
     BENCHES.put("faults", FaultsBench::new);
+    BENCHES.put("recovery", RecoveryBench::new);
     BENCHES.put("placement", PlacementBench::new);
     BENCHES.put("policy", PolicyBench::new);
   }
