Judge urgent work by its own quota and plan reservations cheaply

Change: urgent work is compared with the quota by what urgent tasks hold; a reservation for a single task looks at 48 workers; expected ends are kept with the task; workers that gained room are a list with a mark.

--- a/bench/src/main/java/org/vanillacove/bench/placement/PlacementBench.java
+++ b/bench/src/main/java/org/vanillacove/bench/placement/PlacementBench.java
@@ -156,7 +156,7 @@
   }
 
   private static String team(int number) {
-    return "team" + number % JobCatalog.TEAMS;
+    return "team" + number % CellShape.PLANNED.teams();
   }
 
   /** Returns a size of which the planned tasks fill nine tenths of the cell. */
--- a/bench/src/main/java/org/vanillacove/bench/policy/FillRun.java
+++ b/bench/src/main/java/org/vanillacove/bench/policy/FillRun.java
@@ -21,7 +21,7 @@
     Resources held = Resources.NONE;
     for (int i = 0; ; i++) {
       JobSpec spec =
-          JobCatalog.endless(catalog.family().resources(), "team" + i % JobCatalog.TEAMS, 60_000);
+          JobCatalog.endless(catalog.family().resources(), "team" + i % shape.teams(), 60_000);
       placer.submit("fill" + i, spec, 0);
       boolean started = false;
       for (PlacementDecision decision : placer.decide(0, 1_000)) {
--- a/bench/src/main/java/org/vanillacove/bench/policy/PolicyBench.java
+++ b/bench/src/main/java/org/vanillacove/bench/policy/PolicyBench.java
@@ -7,6 +7,7 @@
 import org.apache.commons.math3.random.RandomGenerator;
 import org.apache.commons.math3.random.Well19937c;
 import org.vanillacove.bench.Bench;
+import org.vanillacove.state.api.Admission;
 import org.vanillacove.state.api.PlacementSettings;
 import org.vanillacove.state.api.Placer;
 import org.vanillacove.state.placement.BestFitPlacer;
@@ -66,10 +67,17 @@
     List<PlannedJob> stream = new JobStream(shape, catalog, random, jobs, LOAD).jobs();
     PlacementSettings settings =
         new PlacementSettings(catalog.quotas(), HALF_LIFE_MILLIS, MAX_PREEMPTIONS);
+    Placer admission = new PolicyPlacer();
+    admission.configure(settings);
+    shape.specs().forEach(admission::addWorker);
+    List<PlannedJob> admitted =
+        stream.stream()
+            .filter(job -> admission.check(job.spec()) instanceof Admission.Admitted)
+            .toList();
     long begin = System.nanoTime();
     DayFigures figures =
         new DayRun(placer.get(), new Well19937c(seed + 1), new DayFigures())
-            .run(shape, stream, settings, true);
+            .run(shape, admitted, settings, true);
     System.err.printf(
         "policy: %s, %s took %.1f s%n", shape.name(), name, (System.nanoTime() - begin) / 1e9);
     return figures;
--- a/bench/src/main/java/org/vanillacove/bench/policy/ShareRun.java
+++ b/bench/src/main/java/org/vanillacove/bench/policy/ShareRun.java
@@ -1,8 +1,10 @@
 package org.vanillacove.bench.policy;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import org.apache.commons.math3.distribution.LogNormalDistribution;
 import org.apache.commons.math3.random.RandomGenerator;
 import org.vanillacove.state.api.PlacementDecision;
@@ -42,14 +44,24 @@
   /** Ends of running tasks. */
   private final PriorityQueue<End> ends = new PriorityQueue<>();
 
+  /** Ends of running tasks by task. */
+  private final Map<TaskId, End> running = new HashMap<>();
+
+  /** Teams by job. */
+  private final Map<String, String> teams = new HashMap<>();
+
   /** Processor time each team got, in core milliseconds. */
   private final Map<String, Double> got = new HashMap<>();
 
+  /** Jobs that have started. */
+  private final Set<String> seen = new HashSet<>();
+
   /** Number of the next job. */
   private int nextJob;
 
   /** End of a task. */
-  private record End(long atMillis, TaskId task, String team) implements Comparable<End> {
+  private record End(long atMillis, TaskId task, String team, long startedAtMillis)
+      implements Comparable<End> {
     @Override
     public int compareTo(End other) {
       int order = Long.compare(atMillis, other.atMillis);
@@ -69,18 +81,21 @@
     for (WorkerSpec worker : shape.specs()) {
       placer.addWorker(worker);
     }
-    Map<String, String> teams = new HashMap<>();
     for (String team : quotas.keySet().stream().sorted().toList()) {
       for (int i = 0; i < BACKLOG; i++) {
-        submit(team, teams, 0);
+        submit(team, 0);
       }
     }
-    decide(teams, 0);
+    decide(0);
     while (ends.peek().atMillis() < LENGTH_MILLIS) {
       End end = ends.poll();
-      placer.taskEnded(end.task(), TaskOutcome.SUCCEEDED, end.atMillis());
-      decide(teams, end.atMillis());
+      if (running.remove(end.task(), end)) {
+        count(end, end.atMillis());
+        placer.taskEnded(end.task(), TaskOutcome.SUCCEEDED, end.atMillis());
+        decide(end.atMillis());
+      }
     }
+    running.values().forEach(end -> count(end, LENGTH_MILLIS));
     double all = got.values().stream().mapToDouble(v -> v).sum();
     double weights = quotas.values().stream().mapToDouble(Resources::cpuMillis).sum();
     return quotas.entrySet().stream()
@@ -93,7 +108,7 @@
         .orElse(0);
   }
 
-  private void submit(String team, Map<String, String> teams, long now) {
+  private void submit(String team, long now) {
     String id = "s" + nextJob++;
     Resources size =
         new Resources(
@@ -102,22 +117,35 @@
     placer.submit(id, JobCatalog.endless(size, team, RUN_MILLIS), now);
   }
 
-  private void decide(Map<String, String> teams, long now) {
+  private void decide(long now) {
     boolean more = true;
     while (more) {
       more = false;
       for (PlacementDecision decision : placer.decide(now, 1_000)) {
-        if (decision instanceof PlacementDecision.Start start) {
-          more = true;
-          String team = teams.remove(start.task().jobId());
-          long run = (long) (RUN_MILLIS * runs.sample());
-          ends.add(new End(now + run, start.task(), team));
-          long from = Math.max(now, MEASURED_FROM_MILLIS);
-          long to = Math.min(now + run, LENGTH_MILLIS);
-          got.merge(team, (double) Math.max(0, to - from), Double::sum);
-          submit(team, teams, now);
+        more = true;
+        switch (decision) {
+          case PlacementDecision.Start start -> start(start.task(), now);
+          case PlacementDecision.Preempt preempt -> {
+            count(running.remove(preempt.task()), now);
+            placer.taskEnded(preempt.task(), TaskOutcome.PREEMPTED, now);
+          }
         }
       }
     }
   }
+
+  private void start(TaskId task, long now) {
+    String team = teams.get(task.jobId());
+    End end = new End(now + (long) (RUN_MILLIS * runs.sample()), task, team, now);
+    ends.add(end);
+    running.put(task, end);
+    if (seen.add(task.jobId())) {
+      submit(team, now);
+    }
+  }
+
+  private void count(End end, long now) {
+    long from = Math.max(end.startedAtMillis(), MEASURED_FROM_MILLIS);
+    got.merge(end.team(), (double) Math.max(0, now - from), Double::sum);
+  }
 }
--- a/state/src/main/java/org/vanillacove/state/placement/ArrivalOrderPlacer.java
+++ b/state/src/main/java/org/vanillacove/state/placement/ArrivalOrderPlacer.java
@@ -211,7 +211,7 @@
 
   private PlacementDecision start(Job job, int index, WorkerState worker, long nowMillis) {
     TaskId id = new TaskId(job.id(), index);
-    RunningTask task = new RunningTask(id, job, worker, job.spec().resources(), nowMillis);
+    RunningTask task = new RunningTask(id, job, worker, job.spec().resources(), nowMillis, 0);
     worker.commit(task);
     job.started(task);
     return new PlacementDecision.Start(id, worker.id());
--- a/state/src/main/java/org/vanillacove/state/placement/PlacementState.java
+++ b/state/src/main/java/org/vanillacove/state/placement/PlacementState.java
@@ -103,6 +103,10 @@
     return kept || (spec.rerun() == RerunPolicy.AT_MOST_ONCE && !spec.checkpointable());
   }
 
+  private static boolean isUrgent(Job job) {
+    return job.spec().priority() == PriorityClass.URGENT;
+  }
+
   /** Queues the waiting tasks of a job, now or after its backoff. */
   void enqueue(Job job, long nowMillis) {
     if (!job.hasPending() || job.lane().isPresent() || job.isRestarting()) {
@@ -138,10 +142,17 @@
   /** Commits capacity to a task. */
   void commit(
       Job job, int index, WorkerState worker, Resources size, long startedAt, long nowMillis) {
-    RunningTask task = new RunningTask(new TaskId(job.id(), index), job, worker, size, startedAt);
+    RunningTask task =
+        new RunningTask(
+            new TaskId(job.id(), index),
+            job,
+            worker,
+            size,
+            startedAt,
+            estimator.highMillis(job.spec()));
     TeamShare team = team(job);
     shares.count(team, nowMillis);
-    team.take(size, isFirm(job.spec()));
+    team.take(size, isFirm(job.spec()), isUrgent(job));
     workers.commit(task);
     job.started(task);
   }
@@ -155,7 +166,7 @@
   void release(RunningTask task, long nowMillis) {
     TeamShare team = team(task.job());
     shares.count(team, nowMillis);
-    team.giveBack(task.committed(), isFirm(task.job().spec()));
+    team.giveBack(task.committed(), isFirm(task.job().spec()), isUrgent(task.job()));
     workers.release(task);
     task.job().ended(task);
     queue.quotaChanged(team);
@@ -184,14 +195,16 @@
     nomination.indexes().forEach(nomination.job()::removePending);
     nominations.add(nomination);
     Resources total = nomination.size().times(nomination.slots().size());
-    team(nomination.job()).take(total, isFirm(nomination.job().spec()));
+    Job job = nomination.job();
+    team(job).take(total, isFirm(job.spec()), isUrgent(job));
   }
 
   /** Ends a promise, so that its tasks can start or wait again. */
   void redeem(Nomination nomination) {
     nominations.remove(nomination);
     Resources total = nomination.size().times(nomination.slots().size());
-    team(nomination.job()).giveBack(total, isFirm(nomination.job().spec()));
+    Job job = nomination.job();
+    team(job).giveBack(total, isFirm(job.spec()), isUrgent(job));
     nomination.slots().forEach(worker -> workers.unhold(worker, nomination.size()));
   }
 
--- a/state/src/main/java/org/vanillacove/state/placement/ReservationPlanner.java
+++ b/state/src/main/java/org/vanillacove/state/placement/ReservationPlanner.java
@@ -11,19 +11,18 @@
 
 /** Finds the workers that are expected to have room for a job first. */
 final class ReservationPlanner {
-  /** Workers looked at for one plan. */
-  private static final int MAX_WORKERS = 1_024;
+  /** Workers looked at for a gang. */
+  private static final int GANG_WORKERS = 1_024;
 
-  /** Estimates of run times. */
-  private final UsageEstimator estimator;
+  /** Workers looked at for a single task. */
+  private static final int TASK_WORKERS = 48;
+
+  /** Workers passed so far, so that plans start at different workers. */
+  private int cursor;
 
   /** A time at which a worker has room for one more task. */
   private record Opening(long atMillis, WorkerState worker) {}
 
-  ReservationPlanner(UsageEstimator estimator) {
-    this.estimator = estimator;
-  }
-
   /**
    * Plans a reservation, in one region if a region can hold the job.
    *
@@ -48,14 +47,18 @@
       Job job, ShapeKey shape, WorkerTable workers, long nowMillis, Predicate<WorkerState> domain) {
     List<Opening> openings = new ArrayList<>();
     int looked = 0;
-    for (WorkerState worker : workers.all()) {
+    int limit = shape.together() > 1 ? GANG_WORKERS : TASK_WORKERS;
+    List<WorkerState> order = new ArrayList<>(workers.all());
+    for (int i = 0; i < order.size(); i++) {
+      WorkerState worker = order.get((cursor + i) % order.size());
       if (worker.isOpen()
           && !worker.isOnProbation()
           && shape.size().fitsIn(worker.spec().capacity())
           && domain.test(worker)
           && shape.constraints().allows(worker.spec())) {
         addOpenings(worker, shape.size(), shape.together(), nowMillis, openings);
-        if (++looked >= MAX_WORKERS) {
+        if (++looked >= limit) {
+          cursor = (cursor + i + 1) % order.size();
           break;
         }
       }
@@ -73,7 +76,7 @@
         new Reservation(job, shape.size(), shape.together(), List.copyOf(chosen), ready));
   }
 
-  private void addOpenings(
+  private static void addOpenings(
       WorkerState worker, Resources size, int limit, long nowMillis, List<Opening> openings) {
     Resources free = worker.placeable();
     long copies = FeasibilityCheck.copies(free, size, limit);
@@ -81,9 +84,9 @@
       openings.add(new Opening(nowMillis, worker));
     }
     List<RunningTask> tasks = new ArrayList<>(worker.running());
-    tasks.sort(Comparator.comparingLong(t -> estimator.expectedEnd(t, nowMillis)));
+    tasks.sort(Comparator.comparingLong(t -> t.expectedEnd(nowMillis)));
     for (RunningTask task : tasks) {
-      long end = estimator.expectedEnd(task, nowMillis);
+      long end = task.expectedEnd(nowMillis);
       if (end >= UsageEstimator.OPEN_ENDED_MILLIS || copies >= limit) {
         return;
       }
--- a/state/src/main/java/org/vanillacove/state/placement/RoomMaker.java
+++ b/state/src/main/java/org/vanillacove/state/placement/RoomMaker.java
@@ -24,7 +24,7 @@
   /** Makes room for urgent work within its quota; returns whether it was decided. */
   boolean forUrgent(
       Job job, ShapeKey key, long nowMillis, int limit, List<PlacementDecision> decisions) {
-    if (!state.team(job).isWithin(key.size().times(key.together()))) {
+    if (!state.team(job).isUrgentlyWithin(key.size().times(key.together()))) {
       return false;
     }
     return makeRoom(
--- a/state/src/main/java/org/vanillacove/state/placement/RunningTask.java
+++ b/state/src/main/java/org/vanillacove/state/placement/RunningTask.java
@@ -5,6 +5,9 @@
 
 /** A task that holds capacity of a worker. */
 final class RunningTask {
+  /** Shortest time left that is expected of a task that ran for longer than expected. */
+  private static final long MIN_LEFT_MILLIS = 1_000;
+
   /** The task. */
   private final TaskId id;
 
@@ -20,6 +23,9 @@
   /** Time of the start in milliseconds. */
   private final long startedAtMillis;
 
+  /** Run time that nine tasks in ten of the family did not pass at the start, in milliseconds. */
+  private final long highRunMillis;
+
   /** Highest use seen. */
   private Resources peak = Resources.NONE;
 
@@ -29,7 +35,14 @@
   /** Whether a stop in favour of other work was decided. */
   private boolean preempting;
 
-  RunningTask(TaskId id, Job job, WorkerState worker, Resources committed, long startedAtMillis) {
+  RunningTask(
+      TaskId id,
+      Job job,
+      WorkerState worker,
+      Resources committed,
+      long startedAtMillis,
+      long highRunMillis) {
+    this.highRunMillis = highRunMillis;
     this.id = id;
     this.job = job;
     this.worker = worker;
@@ -57,6 +70,15 @@
     return startedAtMillis;
   }
 
+  /** Returns the time at which the task is expected to have ended, in milliseconds. */
+  long expectedEnd(long nowMillis) {
+    long end = startedAtMillis + highRunMillis;
+    if (highRunMillis >= UsageEstimator.OPEN_ENDED_MILLIS || end > nowMillis) {
+      return end;
+    }
+    return nowMillis + Math.max(MIN_LEFT_MILLIS, (nowMillis - startedAtMillis) / 2);
+  }
+
   Resources peak() {
     return peak;
   }
--- a/state/src/main/java/org/vanillacove/state/placement/SampleWindow.java
+++ b/state/src/main/java/org/vanillacove/state/placement/SampleWindow.java
@@ -10,6 +10,9 @@
   /** Samples in a ring. */
   private float[] samples = new float[4];
 
+  /** Samples in rising order, null if they have changed. */
+  private float[] sorted;
+
   /** Samples seen. */
   private int seen;
 
@@ -19,6 +22,7 @@
     }
     samples[seen % samples.length] = (float) sample;
     seen++;
+    sorted = null;
   }
 
   int size() {
@@ -27,8 +31,10 @@
 
   /** Returns the smallest sample that at least a share {@code q} of the samples do not pass. */
   double quantile(double q) {
-    float[] sorted = Arrays.copyOf(samples, size());
-    Arrays.sort(sorted);
+    if (sorted == null) {
+      sorted = Arrays.copyOf(samples, size());
+      Arrays.sort(sorted);
+    }
     int position = (int) Math.ceil(q * sorted.length) - 1;
     return sorted[Math.clamp(position, 0, sorted.length - 1)];
   }
--- a/state/src/main/java/org/vanillacove/state/placement/TeamShare.java
+++ b/state/src/main/java/org/vanillacove/state/placement/TeamShare.java
@@ -20,6 +20,9 @@
   /** Resources that tasks hold which cannot be stopped for others. */
   private Resources firmlyHeld = Resources.NONE;
 
+  /** Resources that urgent tasks hold or are promised. */
+  private Resources urgentlyHeld = Resources.NONE;
+
   /** Dominant share held, averaged over the past with a half-life. */
   private double pastShare;
 
@@ -55,15 +58,21 @@
     this.weight = weight;
   }
 
-  void take(Resources size, boolean firm) {
+  void take(Resources size, boolean firm, boolean urgent) {
     held = held.plus(size);
+    if (urgent) {
+      urgentlyHeld = urgentlyHeld.plus(size);
+    }
     if (firm) {
       firmlyHeld = firmlyHeld.plus(size);
     }
   }
 
-  void giveBack(Resources size, boolean firm) {
+  void giveBack(Resources size, boolean firm, boolean urgent) {
     held = held.minus(size);
+    if (urgent) {
+      urgentlyHeld = urgentlyHeld.minus(size);
+    }
     if (firm) {
       firmlyHeld = firmlyHeld.minus(size);
     }
@@ -79,6 +88,11 @@
     return quota.isEmpty() || firmlyHeld.plus(size).fitsIn(quota.get());
   }
 
+  /** Returns whether a further urgent task keeps urgent work within the quota. */
+  boolean isUrgentlyWithin(Resources size) {
+    return quota.isEmpty() || urgentlyHeld.plus(size).fitsIn(quota.get());
+  }
+
   /** Returns whether the team holds more than by right. */
   boolean isBorrowing() {
     return quota.isPresent() && !held.fitsIn(quota.get());
--- a/state/src/main/java/org/vanillacove/state/placement/Upkeep.java
+++ b/state/src/main/java/org/vanillacove/state/placement/Upkeep.java
@@ -41,7 +41,7 @@
   private final RoomMaker roomMaker;
 
   /** Plans reservations. */
-  private final ReservationPlanner planner;
+  private final ReservationPlanner planner = new ReservationPlanner();
 
   /** Time of the last run in milliseconds. */
   private long lastMillis = Long.MIN_VALUE;
@@ -66,7 +66,6 @@
   Upkeep(PlacementState state, RoomMaker roomMaker) {
     this.state = state;
     this.roomMaker = roomMaker;
-    this.planner = new ReservationPlanner(state.estimator());
   }
 
   /** Runs if it is time, and adds the stops decided. */
--- a/state/src/main/java/org/vanillacove/state/placement/UsageEstimator.java
+++ b/state/src/main/java/org/vanillacove/state/placement/UsageEstimator.java
@@ -76,16 +76,6 @@
     return corrected(spec, HIGH_QUANTILE);
   }
 
-  /** Returns the time at which a running task is expected to have ended, in milliseconds. */
-  long expectedEnd(RunningTask task, long nowMillis) {
-    long high = highMillis(task.job().spec());
-    long end = task.startedAtMillis() + high;
-    if (high >= OPEN_ENDED_MILLIS || end > nowMillis) {
-      return end;
-    }
-    return nowMillis + Math.max(1_000, (nowMillis - task.startedAtMillis()) / 2);
-  }
-
   /** Returns the size to commit for a task, at least the declared one. */
   Resources size(JobSpec spec) {
     History history = histories.get(JobFamily.of(spec));
--- a/state/src/main/java/org/vanillacove/state/placement/WaitExplainer.java
+++ b/state/src/main/java/org/vanillacove/state/placement/WaitExplainer.java
@@ -153,19 +153,18 @@
     return cpu + " lack cpu, " + memory + " memory, " + accelerators + " accelerators";
   }
 
-  private String remedy(ShapeKey key, List<WorkerState> workers, long nowMillis) {
-    UsageEstimator estimator = state.estimator();
+  private static String remedy(ShapeKey key, List<WorkerState> workers, long nowMillis) {
     Optional<RunningTask> first =
         workers.stream()
             .flatMap(w -> w.running().stream())
             .filter(t -> key.size().fitsIn(t.worker().placeable().plus(t.committed())))
-            .min(Comparator.comparingLong(t -> estimator.expectedEnd(t, nowMillis)));
+            .min(Comparator.comparingLong(t -> t.expectedEnd(nowMillis)));
     if (first.isEmpty()) {
       return "the end of several tasks on one worker, or a further worker with "
           + FeasibilityCheck.describe(key.size())
           + " free";
     }
-    long end = estimator.expectedEnd(first.get(), nowMillis);
+    long end = first.get().expectedEnd(nowMillis);
     String when =
         end >= UsageEstimator.OPEN_ENDED_MILLIS
             ? ", which has no expected end"
--- a/state/src/main/java/org/vanillacove/state/placement/WorkerState.java
+++ b/state/src/main/java/org/vanillacove/state/placement/WorkerState.java
@@ -50,6 +50,9 @@
   /** Whether it takes one task at a time after a quarantine. */
   private boolean onProbation;
 
+  /** Whether it is listed among those that gained room. */
+  private boolean gained;
+
   WorkerState(int number, WorkerSpec spec) {
     this.number = number;
     this.spec = spec;
@@ -183,6 +186,14 @@
     this.onProbation = onProbation;
   }
 
+  boolean isGained() {
+    return gained;
+  }
+
+  void setGained(boolean gained) {
+    this.gained = gained;
+  }
+
   private void recount() {
     placeable = free.minus(held).minus(overuse);
   }
--- a/state/src/main/java/org/vanillacove/state/placement/WorkerTable.java
+++ b/state/src/main/java/org/vanillacove/state/placement/WorkerTable.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -26,7 +25,7 @@
   private final Map<PlacementConstraints, FreeIndex> indexes = new LinkedHashMap<>(64, 0.75f, true);
 
   /** Workers that gained room since the last {@link #takeGained}. */
-  private final Set<WorkerState> gained = new LinkedHashSet<>();
+  private final List<WorkerState> gained = new ArrayList<>();
 
   /** Names of regions with workers. */
   private final Set<String> regions = new TreeSet<>();
@@ -59,7 +58,7 @@
     for (FreeIndex index : indexes.values()) {
       joinIfAllowed(index, worker);
     }
-    gained.add(worker);
+    markGained(worker);
     stale = true;
   }
 
@@ -98,7 +97,7 @@
     worker.setStatus(status);
     changed(worker);
     if (worker.isOpen()) {
-      gained.add(worker);
+      markGained(worker);
     }
     dropIfGone(worker);
     stale = true;
@@ -118,7 +117,10 @@
   }
 
   void markGained(WorkerState worker) {
-    gained.add(worker);
+    if (!worker.isGained()) {
+      worker.setGained(true);
+      gained.add(worker);
+    }
   }
 
   void commit(RunningTask task) {
@@ -131,7 +133,7 @@
     worker.release(task);
     changed(worker);
     if (workers.get(worker.id()) == worker) {
-      gained.add(worker);
+      markGained(worker);
     }
     dropIfGone(worker);
   }
@@ -150,6 +152,7 @@
   /** Returns the workers that gained room and forgets them. */
   List<WorkerState> takeGained() {
     List<WorkerState> result = new ArrayList<>(gained);
+    result.forEach(worker -> worker.setGained(false));
     gained.clear();
     return result;
   }
@@ -194,7 +197,6 @@
         && worker.running().isEmpty()
         && workers.remove(worker.id(), worker)) {
       leaveIndexes(worker);
-      gained.remove(worker);
       stale = true;
     }
   }
