--- a/cli/src/main/java/org/vanillacove/cli/OperatorClient.java
+++ b/cli/src/main/java/org/vanillacove/cli/OperatorClient.java
@@ -8,6 +8,7 @@
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.client.WebClientBuilder;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
@@ -48,9 +49,7 @@
   /** Creates a client of the host at {@code server}. */
   OperatorClient(HostAndPort server, Optional<String> token, Optional<File> trusted) {
     this.token = token;
-    var builder = ClientFactory.builder().connectTimeout(CONNECT_TIMEOUT);
-    trusted.ifPresent(file -> builder.tlsCustomizer(tls -> tls.trustManager(file)));
-    this.factory = builder.build();
+    this.factory = trusted.map(OperatorClient::secureFactory).orElseGet(ClientFactory::ofDefault);
     WebClientBuilder web =
         WebClient.builder((trusted.isPresent() ? "https://" : "http://") + server);
     this.client =
@@ -79,7 +78,14 @@
 
   @Override
   public void close() {
-    factory.close();
+    factory.closeAsync();
+  }
+
+  private static ClientFactory secureFactory(File trusted) {
+    return ClientFactory.builder()
+        .connectTimeout(CONNECT_TIMEOUT)
+        .tlsCustomizer(tls -> tls.trustManager(trusted))
+        .build();
   }
 
   private ClientOutcome send(HttpMethod method, String path, String body) {
@@ -90,12 +96,7 @@
     }
     try {
       AggregatedHttpResponse answer =
-          client
-              .execute(
-                  HttpRequest.of(
-                      headers.build(), com.linecorp.armeria.common.HttpData.ofUtf8(body)))
-              .aggregate()
-              .join();
+          client.execute(HttpRequest.of(headers.build(), HttpData.ofUtf8(body))).aggregate().join();
       return parse(answer);
     } catch (CompletionException e) {
       return failed(Throwables.getRootCause(e), e.getCause());
--- a/cli/src/main/java/org/vanillacove/cli/Table.java
+++ b/cli/src/main/java/org/vanillacove/cli/Table.java
@@ -6,7 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Prints rows in columns that together fit a terminal of 80 columns. */
+/** Prints rows in columns that fit a terminal of 80 columns; the first one is never cut. */
 final class Table {
   /** Width of a terminal in characters. */
   private static final int WIDTH = 80;
@@ -65,8 +65,8 @@
   }
 
   private static boolean shrinkWidest(int[] widths) {
-    int widest = 0;
-    for (int i = 1; i < widths.length; i++) {
+    int widest = 1;
+    for (int i = 2; i < widths.length; i++) {
       if (widths[i] > widths[widest]) {
         widest = i;
       }
--- a/cli/src/main/java/org/vanillacove/cli/TimelineCommand.java
+++ b/cli/src/main/java/org/vanillacove/cli/TimelineCommand.java
@@ -8,8 +8,11 @@
 import java.time.DateTimeException;
 import java.time.Duration;
 import java.time.Instant;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
@@ -23,6 +26,11 @@
   /** Pause between two questions in follow mode. */
   private static final Duration PAUSE = Duration.ofMillis(500);
 
+  /** Form of times. */
+  private static final DateTimeFormatter TIME =
+      DateTimeFormatter.ofPattern("uuuu-MM-dd'T'HH:mm:ss.SSS'Z'", Locale.ROOT)
+          .withZone(ZoneOffset.UTC);
+
   /** Job that events must be about. */
   @Option(name = "--job", metaVar = "ID", usage = "events about a job")
   private String job;
@@ -145,7 +153,7 @@
   }
 
   private static String line(TimelineEvent event) {
-    return Instant.ofEpochMilli(event.atMillis())
+    return TIME.format(Instant.ofEpochMilli(event.atMillis()))
         + " "
         + event.hostId()
         + " "
--- a/protocol/src/main/java/org/vanillacove/protocol/document/DocumentReader.java
+++ b/protocol/src/main/java/org/vanillacove/protocol/document/DocumentReader.java
@@ -7,7 +7,6 @@
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.core.exc.StreamConstraintsException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
@@ -46,6 +45,9 @@
   /** Longest part of a parser's message that is passed on, in characters. */
   private static final int MAX_MESSAGE_CHARACTERS = 300;
 
+  /** Pattern of schemas for texts that are not blank. */
+  private static final String NOT_BLANK = "\\S";
+
   /** Path of the document as a whole. */
   private static final String ROOT = "$";
 
@@ -62,7 +64,6 @@
                           .maxNameLength(MAX_NAME_CHARACTERS)
                           .build())
                   .build())
-          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
           .build();
 
   /** Schema of the documents. */
@@ -81,7 +82,7 @@
   private DocumentOutcome<JsonNode> check(JsonNode root) {
     List<FieldFault> faults = new ArrayList<>();
     for (Error error : schema.validate(root)) {
-      faults.add(new FieldFault(pathOf(error), error.getMessage()));
+      faults.add(new FieldFault(pathOf(error), reasonOf(error)));
     }
     return DocumentOutcome.of(root, faults);
   }
@@ -124,6 +125,18 @@
     return error.getProperty() == null ? parent : parent + "." + error.getProperty();
   }
 
+  private static String reasonOf(Error error) {
+    return switch (error.getKeyword()) {
+      case "additionalProperties" -> "unknown field";
+      case "required" -> "a required field is missing";
+      case "pattern" ->
+          error.getSchemaNode().asText().equals(NOT_BLANK)
+              ? "must not be blank"
+              : error.getMessage();
+      default -> error.getMessage();
+    };
+  }
+
   private static String jsonPath(JsonPointer pointer) {
     StringBuilder path = new StringBuilder(ROOT);
     for (JsonPointer part = pointer; !part.matches(); part = part.tail()) {
--- a/transport/src/main/java/org/vanillacove/transport/operator/ConfigurationResource.java
+++ b/transport/src/main/java/org/vanillacove/transport/operator/ConfigurationResource.java
@@ -114,7 +114,10 @@
     return service
         .diff(first, second)
         .map(changed -> Responses.ok(new DiffMessage(changed)))
-        .orElseGet(() -> Responses.notFound("version", first + " or " + second));
+        .orElseGet(
+            () ->
+                Responses.notFound(
+                    "version", Long.toString(service.document(first).isEmpty() ? first : second)));
   }
 
   @Get("/configuration/in-force")
