--- a/coordination/src/test/java/org/vanillacove/coordination/cell/TestCell.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/cell/TestCell.java
@@ -37,6 +37,7 @@
   final Map<String, CellNode> nodes = new TreeMap<>();
   final Map<String, WorkerModel> workers = new TreeMap<>();
   final Map<String, WorkerModel.PlannedEnd> ends = new HashMap<>();
+  final List<String> events = new ArrayList<>();
   private final List<HostSpec> seeds = new ArrayList<>();
 
   TestCell(int hosts, int workerCount) {
@@ -100,7 +101,7 @@
             () -> CompletableFuture.completedFuture(Optional.of(List.of())),
             network.link(id),
             timer,
-            (kind, subject, text) -> {},
+            (kind, subject, text) -> record(id, kind, subject, text),
             FirstFitPlacer::new,
             CellTimings.DEFAULTS);
     nodes.put(id, node);
@@ -108,6 +109,10 @@
     return node;
   }
 
+  private void record(String host, String kind, String subject, String text) {
+    events.add("%7d %s %-18s %s: %s".formatted(timer.monotonicMillis(), host, kind, subject, text));
+  }
+
   void kill(String id) {
     nodes.remove(id).close();
     network.remove(id);
--- a/daemon/src/main/java/org/vanillacove/daemon/Vanillacoved.java
+++ b/daemon/src/main/java/org/vanillacove/daemon/Vanillacoved.java
@@ -20,7 +20,7 @@
 /** The daemon of an entry host. */
 public final class Vanillacoved {
   /** Logger. */
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
   /** Exit code after a graceful end. */
   private static final int EXIT_DONE = 0;
@@ -42,7 +42,7 @@
     try {
       code = run(arguments);
     } catch (RuntimeException | Error e) {
-      logger.atSevere().withCause(e).log("daemon: cannot start");
+      LOG.atSevere().withCause(e).log("daemon: cannot start");
       code = EXIT_FAILED;
     }
     if (code >= 0) {
--- a/daemon/src/main/java/org/vanillacove/daemon/host/EntryHost.java
+++ b/daemon/src/main/java/org/vanillacove/daemon/host/EntryHost.java
@@ -44,7 +44,7 @@
 /** An entry host: all parts of one vanillacoved process, assembled from its settings. */
 public final class EntryHost implements AutoCloseable {
   /** Logger. */
-  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
   /** Time within which a call to the platform or a worker ends. */
   private static final Duration PLATFORM_DEADLINE = Duration.ofSeconds(2);
@@ -163,7 +163,7 @@
     node.start();
     open(operatorHttp, "listen.operator");
     open(guestHttp, "listen.guest");
-    logger.atInfo().log(
+    LOG.atInfo().log(
         "host: %s listens, operators %s, guests %s",
         settings.hostId(), settings.listen().operator(), settings.listen().guest());
   }
@@ -188,7 +188,7 @@
     if (!draining.compareAndSet(false, true)) {
       return CompletableFuture.completedFuture(null);
     }
-    logger.atInfo().log("host: %s leaves", settings.hostId());
+    LOG.atInfo().log("host: %s leaves", settings.hostId());
     return guestServer
         .drain(guestHttp::stop)
         .thenCompose(drained -> node.leave())
@@ -209,7 +209,7 @@
   }
 
   private Void logUnfinished(Throwable error) {
-    logger.atWarning().log("host: %s leaves unfinished: %s", settings.hostId(), error);
+    LOG.atWarning().log("host: %s leaves unfinished: %s", settings.hostId(), error);
     return null;
   }
 
@@ -287,7 +287,7 @@
     try {
       resource.close();
     } catch (Exception e) {
-      logger.atWarning().withCause(e).log("host: a part did not close");
+      LOG.atWarning().withCause(e).log("host: a part did not close");
     }
   }
 }
