--- a/bench/src/main/java/org/vanillacove/bench/BenchMain.java
+++ b/bench/src/main/java/org/vanillacove/bench/BenchMain.java
@@ -8,8 +8,10 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
+import org.vanillacove.bench.faults.FaultsBench;
 import org.vanillacove.bench.placement.PlacementBench;
 import org.vanillacove.bench.policy.PolicyBench;
+import org.vanillacove.bench.recovery.RecoveryBench;
 
 /** Runs a bench by name and prints its figures as one JSON object. */
 public final class BenchMain {
@@ -17,6 +19,8 @@
   private static final Map<String, Supplier<Bench>> BENCHES = new TreeMap<>();
 
   static {
+    BENCHES.put("faults", FaultsBench::new);
+    BENCHES.put("recovery", RecoveryBench::new);
     BENCHES.put("placement", PlacementBench::new);
     BENCHES.put("policy", PolicyBench::new);
   }
