--- /dev/null
+++ b/bench/src/main/java/org/vanillacove/bench/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Cost of the link between entry hosts. */
+package org.vanillacove.bench.peer;
