--- a/bench/src/main/java/org/vanillacove/bench/BenchMain.java
+++ b/bench/src/main/java/org/vanillacove/bench/BenchMain.java
@@ -10,6 +10,7 @@
 import org.kohsuke.args4j.Option;
 import org.vanillacove.bench.control.ControlBench;
 import org.vanillacove.bench.faults.FaultsBench;
+import org.vanillacove.bench.peer.PeerBench;
 import org.vanillacove.bench.placement.PlacementBench;
 import org.vanillacove.bench.policy.PolicyBench;
 import org.vanillacove.bench.recovery.RecoveryBench;
@@ -21,6 +22,7 @@
 
   static {
     BENCHES.put("control", ControlBench::new);
+    BENCHES.put("peer", PeerBench::new);
     BENCHES.put("faults", FaultsBench::new);
     BENCHES.put("recovery", RecoveryBench::new);
     BENCHES.put("placement", PlacementBench::new);
--- a/bench/src/main/java/org/vanillacove/bench/control/ControlBench.java
+++ b/bench/src/main/java/org/vanillacove/bench/control/ControlBench.java
@@ -110,8 +110,7 @@
       node.start();
     }
     clock.advance(10_000);
-    CellNode leader =
-        nodes.values().stream().filter(CellNode::isLeader).findFirst().orElseThrow();
+    CellNode leader = nodes.values().stream().filter(CellNode::isLeader).findFirst().orElseThrow();
     String leaderId = leader.self().id();
     leader.submitJob("base", job("stays", TASKS / divisor), DEADLINE);
     clock.advance(30_000);
