--- a/bench/src/main/java/org/vanillacove/bench/BenchMain.java
+++ b/bench/src/main/java/org/vanillacove/bench/BenchMain.java
@@ -8,6 +8,7 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
+import org.vanillacove.bench.config.ConfigBench;
 import org.vanillacove.bench.faults.FaultsBench;
 import org.vanillacove.bench.placement.PlacementBench;
 import org.vanillacove.bench.policy.PolicyBench;
@@ -18,6 +19,7 @@
   private static final Map<String, Supplier<Bench>> BENCHES = new TreeMap<>();
 
   static {
+    BENCHES.put("config", ConfigBench::new);
     BENCHES.put("faults", FaultsBench::new);
     BENCHES.put("placement", PlacementBench::new);
     BENCHES.put("policy", PolicyBench::new);
