--- a/bench/src/main/java/org/vanillacove/bench/BenchMain.java
+++ b/bench/src/main/java/org/vanillacove/bench/BenchMain.java
@@ -8,6 +8,7 @@
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
 import org.kohsuke.args4j.Option;
+import org.vanillacove.bench.config.ConfigBench;
 import org.vanillacove.bench.control.ControlBench;
 import org.vanillacove.bench.faults.FaultsBench;
 import org.vanillacove.bench.peer.PeerBench;
@@ -23,6 +24,7 @@
   static {
     BENCHES.put("control", ControlBench::new);
     BENCHES.put("peer", PeerBench::new);
+    BENCHES.put("config", ConfigBench::new);
     BENCHES.put("faults", FaultsBench::new);
     BENCHES.put("recovery", RecoveryBench::new);
     BENCHES.put("placement", PlacementBench::new);
