--- a/bench/src/main/java/org/vanillacove/bench/BenchMain.java
+++ b/bench/src/main/java/org/vanillacove/bench/BenchMain.java
@@ -15,6 +15,8 @@
 import org.vanillacove.bench.placement.PlacementBench;
 import org.vanillacove.bench.policy.PolicyBench;
 import org.vanillacove.bench.recovery.RecoveryBench;
+import org.vanillacove.bench.route.RouteBench;
+import org.vanillacove.bench.waiting.WaitBench;
 
 /** Runs a bench by name and prints its figures as one JSON object. */
 public final class BenchMain {
@@ -29,6 +31,8 @@
     BENCHES.put("recovery", RecoveryBench::new);
     BENCHES.put("placement", PlacementBench::new);
     BENCHES.put("policy", PolicyBench::new);
+    BENCHES.put("route", RouteBench::new);
+    BENCHES.put("wait", WaitBench::new);
   }
 
   /** Name of the bench. */
