Fill the slow reader's buffers without waiting between the sends

Cause: the test sent at most 64 KiB (the link's write limit) in each poll of 100 ms, so ten seconds move 6.4 MiB. Where the kernel lets a receive buffer grow to 32 MiB (tcp_rmem) the socket still takes bytes when the ten seconds end, and the call stays open, truly: the link was right. Ruled out: a lost completion in the link (the call ends at once as soon as sends are dropped). Change: the test polls each millisecond, and makes its call only after 1,000 sends of which the link took none, which is stricter than before. Conclusion: a fault of the test's filling rate, not of the link.

--- a/transport/src/test/java/org/vanillacove/transport/peer/PeerLinkFaultTest.java
+++ b/transport/src/test/java/org/vanillacove/transport/peer/PeerLinkFaultTest.java
@@ -92,11 +92,15 @@
     assertThat(dropped).isPositive();
     // Once the socket takes no more, calls end at once, although no deadline can pass here.
     await()
+        .pollDelay(Duration.ZERO)
+        .pollInterval(Duration.ofMillis(1))
         .untilAsserted(
             () -> {
+              double before = registry.counter("peer.frames.sent").count();
               for (int i = 0; i < 1_000; i++) {
                 link.send("peer", PeerChannel.SESSION, payload);
               }
+              assertThat(registry.counter("peer.frames.sent").count()).isEqualTo(before);
               assertThat(link.call("peer", PeerChannel.SLOT, payload, DEADLINE))
                   .isCompletedWithValue(Optional.empty());
             });
