Cut, restart and lose whole regions of entry hosts as processes

Cause: over processes only kills, freezes and log outages were proved. Cuts between regions, the restart of all hosts at once, racing operators and the loss of a zone were proved on fakes alone. Change: relays between the processes and to the platform that cut links silently; tests for the cut of the leader's region, the cut of another region, three racing changes of configuration followed by a SIGKILL of all hosts and their restart, and the loss of a zone with its host, workers and backend servers.

--- a/daemon/src/test/java/org/vanillacove/daemon/system/HostProcesses.java
+++ b/daemon/src/test/java/org/vanillacove/daemon/system/HostProcesses.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.net.HostAndPort;
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
@@ -12,6 +13,7 @@
 import com.linecorp.armeria.common.MediaType;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -27,6 +29,8 @@
 import org.vanillacove.daemon.ShutdownLogManager;
 import org.vanillacove.daemon.Vanillacoved;
 import org.vanillacove.daemon.local.LocalPlatform;
+import org.vanillacove.standin.backend.BackendServer;
+import org.vanillacove.standin.server.WorkerServer;
 import org.vanillacove.state.api.AvailabilityZone;
 import org.vanillacove.state.api.TaskId;
 
@@ -34,11 +38,19 @@
 final class HostProcesses implements AutoCloseable {
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int PORTS_PER_HOST = 3;
+  private static final int FIRST_PORT = 20_000;
+  private static final int LAST_PORT = 31_999;
+  private static int nextPort =
+      FIRST_PORT + (int) (ProcessHandle.current().pid() * 31 % (LAST_PORT - FIRST_PORT));
+
   final ScheduledTimerService timer = new ScheduledTimerService();
   final LocalPlatform platform = new LocalPlatform(0, index -> 0, timer);
+  final HostLinks links = new HostLinks();
   private final ClientFactory clients = ClientFactory.builder().build();
   private final Map<Integer, Process> processes = new TreeMap<>();
   private final List<Integer> ports;
+  private final List<String> peerRelays = new ArrayList<>();
+  private final List<String> platformRelays = new ArrayList<>();
   private final Path directory;
   private final int hosts;
 
@@ -46,6 +58,10 @@
     this.hosts = hosts;
     this.directory = directory;
     this.ports = freePorts(hosts * PORTS_PER_HOST);
+    for (int index = 0; index < hosts; index++) {
+      peerRelays.add(links.openPeerRelay(name(index), socketAddress(peerAddress(index))));
+      platformRelays.add(links.openPlatformRelay(name(index), socketAddress(platform.address())));
+    }
     for (int index = 0; index < hosts; index++) {
       start(index);
     }
@@ -73,10 +89,31 @@
     processes.put(index, process);
   }
 
+  int hosts() {
+    return hosts;
+  }
+
   void kill(int index) throws InterruptedException {
     processes.remove(index).destroyForcibly().waitFor();
   }
 
+  /** Kills all hosts at once. */
+  void killAll() throws InterruptedException {
+    processes.values().forEach(Process::destroyForcibly);
+    for (Process process : processes.values()) {
+      process.waitFor();
+    }
+    processes.clear();
+  }
+
+  /** Cuts a host off from all other hosts and from the platform. */
+  void cutOff(int index) {
+    IntStream.range(0, hosts)
+        .filter(other -> other != index)
+        .forEach(other -> links.cut(name(index), name(other)));
+    links.cut(name(index), HostLinks.PLATFORM);
+  }
+
   /** Asks a process to end gracefully and returns its exit code. */
   int terminate(int index) throws InterruptedException {
     Process process = processes.remove(index);
@@ -112,6 +149,21 @@
     return call(index, HttpMethod.PUT, "/api/v1/jobs/" + id + "?deadlineMillis=3000", document);
   }
 
+  /** Asks a host to put a document in force, based on a version. */
+  Optional<JsonNode> configure(int index, long basedOn, String document) {
+    String body =
+        "{\"basedOn\": %d, \"document\": %s, \"reason\": \"test\"}".formatted(basedOn, document);
+    return call(index, HttpMethod.PUT, "/api/v1/configuration?deadlineMillis=5000", body);
+  }
+
+  /** Tells a host that the region of another one is lost for good. */
+  Optional<JsonNode> declareLost(int index, int lost) {
+    String body =
+        "{\"region\": \"%s\", \"reason\": \"test\"}"
+            .formatted(LocalPlatform.zoneOfHost(lost).region());
+    return call(index, HttpMethod.POST, "/api/v1/lost?deadlineMillis=5000", body);
+  }
+
   CompletableFuture<AggregatedHttpResponse> guest(int index, HttpMethod method, String path) {
     return client(guestAddress(index)).execute(HttpRequest.of(method, path)).aggregate();
   }
@@ -123,6 +175,28 @@
         .count();
   }
 
+  /** Kills the entry host, the workers and the backend servers of a host's availability zone. */
+  void loseZone(int index) throws InterruptedException {
+    AvailabilityZone zone = LocalPlatform.zoneOfHost(index);
+    kill(index);
+    platform.workers().stream()
+        .filter(worker -> worker.model().spec().zone().equals(zone))
+        .forEach(WorkerServer::close);
+    platform.backends().stream()
+        .filter(backend -> backend.listed().zone().equals(zone))
+        .forEach(BackendServer::close);
+  }
+
+  /** Returns how many tasks of a job run on workers outside a host's availability zone. */
+  long placesOutside(int index, String job, int tasks) {
+    AvailabilityZone zone = LocalPlatform.zoneOfHost(index);
+    return platform.workers().stream()
+        .filter(worker -> !worker.model().spec().zone().equals(zone))
+        .flatMap(worker -> worker.model().runningTasks().stream())
+        .filter(task -> task.jobId().equals(job) && task.index() < tasks)
+        .count();
+  }
+
   /** Returns how often a task was started on all workers together. */
   int starts(TaskId task) {
     return platform.workers().stream().mapToInt(worker -> worker.model().startCount(task)).sum();
@@ -132,12 +206,17 @@
   public void close() {
     processes.values().forEach(Process::destroyForcibly);
     clients.close();
+    links.close();
     platform.close();
     timer.close();
   }
 
+  static String name(int index) {
+    return "host-" + index;
+  }
+
   private static boolean leads(JsonNode status, int index) {
-    return status.path("leader").asText().equals("host-" + index);
+    return status.path("leader").asText().equals(name(index));
   }
 
   private Optional<JsonNode> call(int index, HttpMethod method, String path, String body) {
@@ -166,19 +245,20 @@
   private ObjectNode settings(int index) {
     ObjectNode settings = MAPPER.createObjectNode();
     AvailabilityZone zone = LocalPlatform.zoneOfHost(index);
-    settings.put("hostId", "host-" + index);
+    settings.put("hostId", name(index));
     settings.put("availabilityZone", zone.name());
     settings.put("region", zone.region());
     settings
         .putObject("listen")
         .put("guest", guestAddress(index))
         .put("operator", operatorAddress(index))
-        .put("peer", peerAddress(index));
+        .put("peer", peerAddress(index))
+        .put("announcedPeer", peerRelays.get(index));
     settings
         .putObject("platform")
-        .put("log", platform.address())
-        .put("hostList", platform.address())
-        .put("workerList", platform.address());
+        .put("log", platformRelays.get(index))
+        .put("hostList", platformRelays.get(index))
+        .put("workerList", platformRelays.get(index));
     ArrayNode seeds = settings.putArray("seeds");
     IntStream.range(0, hosts).forEach(seed -> addSeed(seeds, seed));
     return settings;
@@ -188,8 +268,8 @@
     AvailabilityZone zone = LocalPlatform.zoneOfHost(index);
     seeds
         .addObject()
-        .put("hostId", "host-" + index)
-        .put("peer", peerAddress(index))
+        .put("hostId", name(index))
+        .put("peer", peerRelays.get(index))
         .put("availabilityZone", zone.name())
         .put("region", zone.region());
   }
@@ -210,15 +290,29 @@
     return "127.0.0.1:" + ports.get(port);
   }
 
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    for (int index = 0; index < count; index++) {
-      sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-    }
-    List<Integer> free = sockets.stream().map(ServerSocket::getLocalPort).toList();
-    for (ServerSocket socket : sockets) {
-      socket.close();
+  private static InetSocketAddress socketAddress(String address) {
+    HostAndPort parsed = HostAndPort.fromString(address);
+    return new InetSocketAddress(parsed.getHost(), parsed.getPort());
+  }
+
+  /** Returns ports below the range of outgoing connections, each given out once. */
+  private static synchronized List<Integer> freePorts(int count) {
+    List<Integer> free = new ArrayList<>();
+    while (free.size() < count) {
+      int port = nextPort;
+      nextPort = port == LAST_PORT ? FIRST_PORT : port + 1;
+      if (isFree(port)) {
+        free.add(port);
+      }
     }
     return free;
   }
+
+  private static boolean isFree(int port) {
+    try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+      return socket.isBound();
+    } catch (IOException e) {
+      return false;
+    }
+  }
 }
--- a/protocol/src/main/java/org/vanillacove/protocol/settings/DaemonSettings.java
+++ b/protocol/src/main/java/org/vanillacove/protocol/settings/DaemonSettings.java
@@ -34,7 +34,7 @@
 
   /** Returns the entry host these settings describe. */
   public HostSpec host() {
-    return new HostSpec(hostId, listen.peer(), zone);
+    return new HostSpec(hostId, listen.announcedPeer().orElse(listen.peer()), zone);
   }
 
   /**
@@ -43,8 +43,15 @@
    * @param guest requests of guests
    * @param operator operators' interface
    * @param peer peer link
+   * @param announcedPeer address that other entry hosts connect to, if it is not {@code peer}
    */
-  public record ListenAddresses(String guest, String operator, String peer) {}
+  public record ListenAddresses(
+      String guest, String operator, String peer, Optional<String> announcedPeer) {
+    /** Creates addresses of which other hosts connect to the one listened on. */
+    public ListenAddresses(String guest, String operator, String peer) {
+      this(guest, operator, peer, Optional.empty());
+    }
+  }
 
   /**
    * Addresses of the platform's services.
--- a/protocol/src/main/java/org/vanillacove/protocol/settings/DaemonSettingsLoader.java
+++ b/protocol/src/main/java/org/vanillacove/protocol/settings/DaemonSettingsLoader.java
@@ -58,6 +58,7 @@
     checkAddress("$.platform.log", settings.platform().log(), faults);
     checkAddress("$.platform.hostList", settings.platform().hostList(), faults);
     checkAddress("$.platform.workerList", settings.platform().workerList(), faults);
+    checkAnnouncedPeer(settings.listen(), faults);
     checkDistinctPorts(settings.listen(), faults);
     checkSeeds(settings.seeds(), faults);
     checkTokens(settings.tokens(), faults);
@@ -79,6 +80,31 @@
     }
   }
 
+  private static void checkAnnouncedPeer(ListenAddresses listen, List<FieldFault> faults) {
+    if (listen.announcedPeer().isPresent()) {
+      String announced = listen.announcedPeer().get();
+      checkAddress("$.listen.announcedPeer", announced, faults);
+      if (isWildcard(announced)) {
+        faults.add(
+            new FieldFault(
+                "$.listen.announcedPeer", "other hosts cannot connect to all addresses"));
+      }
+    } else if (isWildcard(listen.peer())) {
+      faults.add(
+          new FieldFault(
+              "$.listen.announcedPeer", "required where $.listen.peer means all addresses"));
+    }
+  }
+
+  private static boolean isWildcard(String address) {
+    try {
+      String host = HostAndPort.fromString(address).getHost();
+      return InetAddresses.isInetAddress(host) && InetAddresses.forString(host).isAnyLocalAddress();
+    } catch (IllegalArgumentException e) {
+      return false;
+    }
+  }
+
   private static void checkDistinctPorts(ListenAddresses listen, List<FieldFault> faults) {
     if (listen.operator().equals(listen.guest()) && !listen.operator().endsWith(":0")) {
       faults.add(new FieldFault("$.listen.operator", "the same address as $.listen.guest"));
@@ -133,7 +159,10 @@
 
   private static ListenAddresses listen(JsonNode node) {
     return new ListenAddresses(
-        node.path("guest").asText(), node.path("operator").asText(), node.path("peer").asText());
+        node.path("guest").asText(),
+        node.path("operator").asText(),
+        node.path("peer").asText(),
+        Optional.ofNullable(node.get("announcedPeer")).map(JsonNode::asText));
   }
 
   private static PlatformAddresses platform(JsonNode node) {
--- a/protocol/src/test/java/org/vanillacove/protocol/settings/DaemonSettingsLoaderTest.java
+++ b/protocol/src/test/java/org/vanillacove/protocol/settings/DaemonSettingsLoaderTest.java
@@ -47,4 +47,21 @@
     assertThat(settings.tls().peer().orElseThrow().trusted()).contains("t.pem");
     assertThat(settings.tls().guest()).isEmpty();
   }
+
+  @Test
+  void otherHostsConnectToTheAnnouncedAddress() {
+    String text =
+        """
+        {"hostId":"h1","availabilityZone":"z1","region":"r1",
+         "listen":{"guest":"0.0.0.0:1","operator":"0.0.0.0:2","peer":"0.0.0.0:3",
+          "announcedPeer":"10.1.2.3:3"},
+         "platform":{"log":"127.0.0.1:4","hostList":"127.0.0.1:5","workerList":"127.0.0.1:6"}}
+        """;
+
+    DaemonSettings settings =
+        ((DocumentOutcome.Accepted<DaemonSettings>) loader.load(text)).value();
+
+    assertThat(settings.host().peerAddress()).isEqualTo("10.1.2.3:3");
+    assertThat(settings.listen().peer()).isEqualTo("0.0.0.0:3");
+  }
 }
