Measure the bytes of control by kind of message

Change: the bench counts by kind of message and by kind of record read. Content of worker messages is its encoded size instead of 30 bytes for each command and task. Jobs are submitted to one host after the other, as the balancer does, instead of all to one host, which led. The measured time begins after 20 s of load, so that tasks end at the rate at which they start.

--- a/bench/src/main/java/org/vanillacove/bench/control/ControlBench.java
+++ b/bench/src/main/java/org/vanillacove/bench/control/ControlBench.java
@@ -51,6 +51,9 @@
   /** Length of a measurement in seconds of the clock. */
   private static final int SECONDS = 30;
 
+  /** Length of the load before a measurement in seconds of the clock, so that tasks end too. */
+  private static final int WARM_UP_SECONDS = 20;
+
   /** Run time of the tasks of the load in milliseconds. */
   private static final long RUN_MILLIS = 10_000;
 
@@ -114,11 +117,20 @@
     String leaderId = leader.self().id();
     leader.submitJob("base", job("stays", TASKS / divisor), DEADLINE);
     clock.advance(30_000);
+    double startsPerSecond = STARTS_PER_SECOND / divisor;
+    List<CellNode> entries = List.copyOf(nodes.values());
+    load(clock, entries, startsPerSecond, WARM_UP_SECONDS, "warm-up-");
     Map<String, long[]> begun = new TreeMap<>();
-    meters.forEach((id, meter) -> begun.put(id, new long[] {meter.cpuNanos(), meter.bytes()}));
-    load(clock, nodes.values().iterator().next(), STARTS_PER_SECOND / divisor);
+    Map<String, Map<String, Long>> kinds = new TreeMap<>();
+    meters.forEach(
+        (id, meter) -> {
+          begun.put(id, new long[] {meter.cpuNanos(), meter.bytes()});
+          kinds.put(id, meter.bytesByKind());
+        });
+    load(clock, entries, startsPerSecond, SECONDS, "load-");
     double cpu = 0;
     double bytes = 0;
+    String busiest = "";
     for (Map.Entry<String, MeteredHost> entry : meters.entrySet()) {
       long[] start = begun.get(entry.getKey());
       double corePct = (entry.getValue().cpuNanos() - start[0]) / 1e9 / SECONDS * 100;
@@ -128,6 +140,7 @@
         figures.put("leader_bytes_per_s_1_" + divisor, rate);
       } else {
         cpu = Math.max(cpu, corePct);
+        busiest = rate > bytes ? entry.getKey() : busiest;
         bytes = Math.max(bytes, rate);
       }
     }
@@ -136,13 +149,35 @@
     long live = liveBytes() - fakes;
     figures.put("memory_mb_per_node_1_" + divisor, live / 1e6 / HOSTS);
     figures.put("running_1_" + divisor, running(leader));
+    if (divisor == 1) {
+      addShares("leader", meters.get(leaderId), kinds.get(leaderId), figures);
+      addShares("holder", meters.get(busiest), kinds.get(busiest), figures);
+    }
     nodes.values().forEach(CellNode::close);
   }
 
-  private static void load(ManualTimerService clock, CellNode node, double startsPerSecond) {
-    int jobs = (int) (startsPerSecond * SECONDS);
+  /** Adds the bytes of each kind of message of one host at the planned size. */
+  private static void addShares(
+      String role, MeteredHost meter, Map<String, Long> begun, Map<String, Object> figures) {
+    meter
+        .bytesByKind()
+        .forEach(
+            (kind, total) -> {
+              long spent = total - begun.getOrDefault(kind, 0L);
+              figures.put(role + "_bytes_per_s_" + kind, spent / (double) SECONDS);
+            });
+  }
+
+  /** Submits jobs of one task at an even rate, to one host after the other as a balancer does. */
+  private static void load(
+      ManualTimerService clock,
+      List<CellNode> entries,
+      double startsPerSecond,
+      int seconds,
+      String prefix) {
+    int jobs = (int) (startsPerSecond * seconds);
     for (int i = 0; i < jobs; i++) {
-      node.submitJob("load-" + i, job("ends", 1), DEADLINE);
+      entries.get(i % entries.size()).submitJob(prefix + i, job("ends", 1), DEADLINE);
       clock.advance((long) (1_000 / startsPerSecond));
     }
   }
--- a/bench/src/main/java/org/vanillacove/bench/control/MeteredHost.java
+++ b/bench/src/main/java/org/vanillacove/bench/control/MeteredHost.java
@@ -1,13 +1,18 @@
 package org.vanillacove.bench.control;
 
 import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
 import java.lang.management.ManagementFactory;
 import java.lang.management.ThreadMXBean;
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import org.vanillacove.protocol.codec.WorkerMessageCodec;
+import org.vanillacove.protocol.generated.MembershipMessage;
 import org.vanillacove.protocol.peer.PeerChannel;
 import org.vanillacove.protocol.peer.PeerLink;
 import org.vanillacove.protocol.platform.AppendOutcome;
@@ -16,6 +21,7 @@
 import org.vanillacove.protocol.platform.WorkerCommand;
 import org.vanillacove.protocol.platform.WorkerGateway;
 import org.vanillacove.protocol.platform.WorkerReply;
+import org.vanillacove.protocol.record.RecordCodec;
 import org.vanillacove.protocol.timer.TimerService;
 import org.vanillacove.state.api.WorkerSpec;
 
@@ -27,14 +33,11 @@
   /** Bytes reckoned for the headers of one message or call. */
   private static final long HEADER_BYTES = 60;
 
-  /** Bytes reckoned for the content of a command or of the report of one task. */
-  private static final long REPORT_BYTES = 30;
-
   /** Processor time so far in nanoseconds. */
   private long cpuNanos;
 
-  /** Bytes sent and received so far. */
-  private long bytes;
+  /** Bytes sent and received so far, by kind of message. */
+  private final Map<String, Long> bytes = new TreeMap<>();
 
   MeteredHost() {}
 
@@ -43,7 +46,12 @@
   }
 
   long bytes() {
-    return bytes;
+    return bytes.values().stream().mapToLong(Long::longValue).sum();
+  }
+
+  /** Returns the bytes so far by kind of message. */
+  Map<String, Long> bytesByKind() {
+    return new TreeMap<>(bytes);
   }
 
   TimerService timer(TimerService clock) {
@@ -74,26 +82,27 @@
     return new PeerLink() {
       @Override
       public void send(String hostId, PeerChannel channel, ByteString payload) {
-        count(payload.size());
+        count(kindOf(channel, payload), payload.size());
         shared.send(hostId, channel, payload);
       }
 
       @Override
       public CompletableFuture<Optional<ByteString>> call(
           String hostId, PeerChannel channel, ByteString payload, Duration deadline) {
-        count(payload.size());
+        String kind = kindOf(channel, payload);
+        count(kind, payload.size());
         return shared
             .call(hostId, channel, payload, deadline)
             .thenApply(
                 reply -> {
-                  reply.ifPresent(content -> count(content.size()));
+                  reply.ifPresent(content -> count(kind, content.size()));
                   return reply;
                 });
       }
 
       @Override
       public void register(PeerChannel channel, PeerHandler handler) {
-        shared.register(channel, (from, payload) -> receive(handler, from, payload));
+        shared.register(channel, (from, payload) -> receive(handler, channel, from, payload));
       }
 
       @Override
@@ -105,7 +114,7 @@
     return new PlatformLog() {
       @Override
       public CompletableFuture<AppendOutcome> append(List<ByteString> records) {
-        count(records.stream().mapToLong(ByteString::size).sum());
+        count("log_append", records.stream().mapToLong(ByteString::size).sum());
         return shared.append(records);
       }
 
@@ -120,8 +129,9 @@
     return new WorkerGateway() {
       @Override
       public CompletableFuture<WorkerReply> send(WorkerSpec worker, WorkerCommand command) {
-        count(REPORT_BYTES);
-        return shared.send(worker, command).thenApply(MeteredHost.this::countReply);
+        String kind = "worker_" + command.getClass().getSimpleName().toLowerCase(Locale.ROOT);
+        count(kind, WorkerMessageCodec.encodeCommand(command).length);
+        return shared.send(worker, command).thenApply(reply -> countReply(kind, reply));
       }
 
       @Override
@@ -132,25 +142,28 @@
   }
 
   private CompletableFuture<Optional<ByteString>> receive(
-      PeerLink.PeerHandler handler, String from, ByteString payload) {
-    count(payload.size());
+      PeerLink.PeerHandler handler, PeerChannel channel, String from, ByteString payload) {
+    String kind = kindOf(channel, payload);
+    count(kind, payload.size());
     long begun = THREADS.getCurrentThreadCpuTime();
     CompletableFuture<Optional<ByteString>> reply = handler.handle(from, payload);
     cpuNanos += THREADS.getCurrentThreadCpuTime() - begun;
+    reply.thenAccept(answer -> answer.ifPresent(content -> count(kind, content.size())));
     return reply;
   }
 
   private ReadOutcome countRead(ReadOutcome outcome) {
     if (outcome instanceof ReadOutcome.Batch batch) {
-      count(batch.records().stream().mapToLong(ByteString::size).sum());
+      count("log_read", 0);
+      for (ByteString record : batch.records()) {
+        add("log_read_" + kindOf(record), record.size());
+      }
     }
     return outcome;
   }
 
-  private WorkerReply countReply(WorkerReply reply) {
-    if (reply instanceof WorkerReply.Done done) {
-      count(REPORT_BYTES * done.tasks().size());
-    }
+  private WorkerReply countReply(String kind, WorkerReply reply) {
+    WorkerMessageCodec.encodeReply(reply).ifPresent(content -> count(kind, content.length));
     return reply;
   }
 
@@ -160,7 +173,27 @@
     cpuNanos += THREADS.getCurrentThreadCpuTime() - begun;
   }
 
-  private void count(long content) {
-    bytes += HEADER_BYTES + content;
+  private void count(String kind, long content) {
+    add(kind, HEADER_BYTES + content);
+  }
+
+  private void add(String kind, long content) {
+    bytes.merge(kind, content, Long::sum);
+  }
+
+  private static String kindOf(PeerChannel channel, ByteString payload) {
+    try {
+      return channel == PeerChannel.MEMBERSHIP
+          ? "peer_" + MembershipMessage.parseFrom(payload).getMessageCase().name()
+          : "peer_" + channel.name();
+    } catch (InvalidProtocolBufferException e) {
+      return "peer_unknown";
+    }
+  }
+
+  private static String kindOf(ByteString record) {
+    return RecordCodec.decode(record)
+        .map(envelope -> envelope.record().getClass().getSimpleName())
+        .orElse("unknown");
   }
 }
