Answer renewals and starts with what changed instead of whole inventories

Cause: measured by kind, whole inventories in replies to starts were 17,925 of the leader's 43,376 B/s, those in replies to renewals 5,201 of them and 7,163 of a holder's 17,695; reports of holders repeated the use of every new task.

Change: only a fence is answered with the whole inventory, and only from an inventory follows that an attempt does not run. A renewal is answered with the attempts that started or ended since the last renewal, other commands with the attempt that they name; a stop that took effect means that its attempt does not run. Holders read the inventory when they take a session over, after each reply that did not come and every 12 renewals. A worker refuses renewals after a reboot until its inventory is read. Reports to the leader go out every second unless they are urgent; use is reported where it differs from what was asked for. SessionReports is taken out of SessionHolder. The fences of leaders carry the whole inventory as before, and no wire message changed.

Found on the way: a worker that refuses connections was never counted as silent, so its tasks never restarted; a refused fence now counts like no answer.

Ruled out: a version or hash of the inventory in every renewal, by which holders would conclude absence from changes; a break unnoticed would start a task twice.

--- a/coordination/src/main/java/org/vanillacove/coordination/scheduling/LeaderTerm.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/scheduling/LeaderTerm.java
@@ -335,15 +335,13 @@
     if (!recorded) {
       unrecorded++;
     }
-    long sent = now();
     context
         .gateway()
         .send(watcher.specOf(entry.workerId()), command)
-        .thenAccept(reply -> shard.execute(() -> commanded(entry, attempt, recorded, reply, sent)));
+        .thenAccept(reply -> shard.execute(() -> commanded(entry, attempt, recorded, reply)));
   }
 
-  private void commanded(
-      TaskEntry entry, int attempt, boolean recorded, WorkerReply reply, long sent) {
+  private void commanded(TaskEntry entry, int attempt, boolean recorded, WorkerReply reply) {
     if (over || !entry.isOn(entry.workerId(), attempt)) {
       return;
     }
@@ -360,7 +358,7 @@
       recordStart(entry, StartMode.WRITE_BEHIND, () -> {});
     }
     if (reply instanceof WorkerReply.Done answer) {
-      reconcile(entry.workerId(), answer.tasks(), sent);
+      takeAll(entry.workerId(), answer.tasks());
     }
   }
 
@@ -457,8 +455,9 @@
             reply ->
                 shard.execute(
                     () -> {
-                      if (reply instanceof WorkerReply.Done done) {
-                        reconcile(workerId, done.tasks(), sent);
+                      if (reply instanceof WorkerReply.Done done && !over) {
+                        takeAll(workerId, done.tasks());
+                        stopped(workerId, id, attempt, sent);
                       }
                     }));
   }
@@ -481,18 +480,33 @@
     if (over) {
       return;
     }
-    Set<TaskId> seen = new HashSet<>();
-    for (TaskReport report : reports) {
-      take(workerId, report.task(), report.attempt(), report.ended());
-      seen.add(report.task());
-    }
+    takeAll(workerId, reports);
     for (TaskEntry entry : ledger.onWorker(workerId)) {
-      if (!seen.contains(entry.id())) {
+      boolean shown =
+          reports.stream()
+              .anyMatch(
+                  report ->
+                      report.task().equals(entry.id()) && report.attempt() == entry.attempt());
+      if (!shown) {
         missing(entry, asked);
       }
     }
   }
 
+  private void takeAll(String workerId, List<TaskReport> reports) {
+    for (TaskReport report : reports) {
+      take(workerId, report.task(), report.attempt(), report.ended());
+    }
+  }
+
+  /** Takes note that an attempt certainly does not run after its stop, even if nothing shows it. */
+  private void stopped(String workerId, TaskId id, int attempt, long asked) {
+    ledger
+        .find(id)
+        .filter(entry -> entry.isOn(workerId, attempt))
+        .ifPresent(entry -> missing(entry, asked));
+  }
+
   private void missing(TaskEntry entry, long asked) {
     boolean expected = entry.phase() == TaskEntry.Phase.RUNNING;
     if (expected && entry.confirmedAtMillis() < asked) {
--- a/coordination/src/main/java/org/vanillacove/coordination/session/SessionHolder.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/session/SessionHolder.java
@@ -2,10 +2,6 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,11 +13,9 @@
 import org.vanillacove.coordination.stream.CellStore;
 import org.vanillacove.coordination.stream.EventShard;
 import org.vanillacove.coordination.stream.FoldListener;
-import org.vanillacove.protocol.generated.AttemptMessage;
 import org.vanillacove.protocol.generated.SessionReportMessage;
 import org.vanillacove.protocol.peer.PeerChannel;
 import org.vanillacove.protocol.peer.PeerLink;
-import org.vanillacove.protocol.platform.TaskReport;
 import org.vanillacove.protocol.platform.WorkerCommand;
 import org.vanillacove.protocol.platform.WorkerGateway;
 import org.vanillacove.protocol.platform.WorkerReply;
@@ -29,14 +23,10 @@
 import org.vanillacove.state.api.CellRecord;
 import org.vanillacove.state.api.HostSpec;
 import org.vanillacove.state.api.RecordEnvelope;
-import org.vanillacove.state.api.Resources;
-import org.vanillacove.state.api.TaskId;
-import org.vanillacove.state.api.TaskOutcome;
 import org.vanillacove.state.api.WorkerSpec;
 import org.vanillacove.state.api.WorkerStatus;
 import org.vanillacove.state.cell.CellState;
 import org.vanillacove.state.cell.FoldOutcome;
-import org.vanillacove.state.cell.TaskState;
 import org.vanillacove.state.cell.WorkerState;
 
 /**
@@ -44,14 +34,11 @@
  * what they run with the folded state and reports the differences to the leader.
  */
 public final class SessionHolder implements FoldListener {
-  /** Usage entries of one report. */
-  private static final int MAX_USAGE = 32;
+  /** Ticks between two reports that are not urgent. */
+  private static final int REPORT_TICKS = 2;
 
-  /** Ticks between two sendings of a report that the state does not show yet. */
-  private static final int RESEND_TICKS = 4;
-
-  /** Change of use worth a report, as a part of what was reported last. */
-  private static final double USAGE_CHANGE = 0.1;
+  /** Renewals between two readings of a worker's whole inventory. */
+  private static final int INVENTORY_RENEWALS = 12;
 
   /** This host. */
   private final HostSpec self;
@@ -86,14 +73,8 @@
   /** Sessions held, by worker. */
   private final Map<String, Session> sessions = new TreeMap<>();
 
-  /** Ended attempts that the state does not show yet, by attempt. */
-  private final Map<Attempt, Ended> ended = new LinkedHashMap<>();
-
-  /** Differences found since the last report. */
-  private SessionReportMessage.Builder differences = SessionReportMessage.newBuilder();
-
-  /** Usage reported last, by task. */
-  private final Map<TaskId, Resources> usage = new HashMap<>();
+  /** What is to be reported to the leader. */
+  private final SessionReports reports;
 
   /** The timer of the sessions. */
   private Optional<TimerService.Subscription> subscription = Optional.empty();
@@ -127,6 +108,7 @@
     this.plans = plans;
     this.standing = standing;
     this.leaderHandler = leaderHandler;
+    this.reports = new SessionReports(store, timings.hostRemoval().toMillis());
   }
 
   /** Takes reports of session holders. */
@@ -182,10 +164,12 @@
     long now = timer.monotonicMillis();
     for (Session session : sessions.values()) {
       if (now >= session.nextAtMillis) {
-        renew(session, now);
+        ask(session, now);
       }
     }
-    report();
+    if (ticks % REPORT_TICKS == 0 || reports.isUrgent()) {
+      reports.next(derivedPlan.stamp().epoch(), now).ifPresent(this::deliver);
+    }
   }
 
   private void derive(SessionPlan plan) {
@@ -215,136 +199,77 @@
         .toList();
   }
 
-  private void renew(Session session, long now) {
+  /** Renews the leases of a worker; reads its inventory first if it may not be known. */
+  private void ask(Session session, long now) {
     boolean near = session.spec.zone().region().equals(self.zone().region());
     boolean all = standing.hasLeaderWord();
     if (!all && !(near && standing.hasRegionWord())) {
       return;
     }
     session.nextAtMillis = now + timings.renewal().toMillis();
-    long token = plans.leaderClockMillis();
+    if (session.renewalsLeft > 0) {
+      renew(session, !all);
+    } else {
+      readInventory(session);
+    }
+  }
+
+  private void renew(Session session, boolean keepOnly) {
+    session.renewalsLeft--;
     WorkerCommand.Renew command =
-        new WorkerCommand.Renew(derivedPlan.stamp().epoch(), timings.lease().toMillis(), !all);
+        new WorkerCommand.Renew(derivedPlan.stamp().epoch(), timings.lease().toMillis(), keepOnly);
     gateway
         .send(session.spec, command)
-        .thenAccept(reply -> shard.execute(() -> handle(session, reply, token)));
+        .thenAccept(reply -> shard.execute(() -> renewed(session, reply)));
   }
 
-  private void handle(Session session, WorkerReply reply, long token) {
+  private void renewed(Session session, WorkerReply reply) {
     switch (reply) {
       case WorkerReply.Done done -> {
         session.failures = 0;
-        compare(session.spec.id(), done.tasks(), token);
+        reports.addAttempts(session.spec.id(), done.tasks(), timer.monotonicMillis());
       }
-      case WorkerReply.Unknown unknown -> {
-        session.failures++;
-        session.nextAtMillis = timer.monotonicMillis() + timings.upkeep().toMillis();
-        if (session.failures > 1) {
-          differences.addUnreachableWorkers(session.spec.id());
-        }
+      case WorkerReply.Refused refused -> {
+        session.renewalsLeft = 0;
+        session.nextAtMillis = timer.monotonicMillis();
       }
       case WorkerReply.Stale stale -> standing.askSoon();
-      case WorkerReply.Refused refused -> {}
+      case WorkerReply.Unknown unknown -> unanswered(session);
     }
   }
 
-  private void compare(String workerId, List<TaskReport> reports, long token) {
-    Map<TaskId, Integer> expected = store.read(state -> expected(state, workerId));
-    Set<TaskId> seen = new HashSet<>();
-    for (TaskReport report : reports) {
-      AttemptMessage message = message(workerId, report);
-      Integer attempt = expected.get(report.task());
-      boolean known = attempt != null && attempt == report.attempt();
-      if (known) {
-        seen.add(report.task());
-      }
-      if (report.ended().isPresent()) {
-        ended.putIfAbsent(
-            new Attempt(workerId, report.task(), report.attempt()),
-            new Ended(message, ticks, timer.monotonicMillis()));
-        usage.remove(report.task());
-      } else if (known) {
-        noteUsage(report, message);
-      } else {
-        differences.addExtra(message);
-      }
-    }
-    expected.forEach(
-        (task, attempt) -> {
-          if (!seen.contains(task) && !ended.containsKey(new Attempt(workerId, task, attempt))) {
-            differences.addMissing(
-                AttemptMessage.newBuilder()
-                    .setWorkerId(workerId)
-                    .setJobId(task.jobId())
-                    .setIndex(task.index())
-                    .setAttempt(attempt));
-          }
-        });
-    long oldest =
-        differences.getLeaderClockMillis() == 0
-            ? token
-            : Math.min(token, differences.getLeaderClockMillis());
-    differences.setLeaderClockMillis(oldest);
-  }
-
-  private static Map<TaskId, Integer> expected(CellState state, String workerId) {
-    Map<TaskId, Integer> expected = new LinkedHashMap<>();
-    state
-        .worker(workerId)
-        .ifPresent(
-            worker -> {
-              for (TaskId task : worker.running()) {
-                expected.put(task, state.task(task).map(TaskState::attempt).orElse(0));
-              }
-            });
-    return expected;
-  }
-
-  private void noteUsage(TaskReport report, AttemptMessage message) {
-    Resources last = usage.getOrDefault(report.task(), Resources.NONE);
-    if (differences.getUsageCount() < MAX_USAGE && isWorthReport(last, report.used())) {
-      usage.put(report.task(), report.used());
-      differences.addUsage(message);
-    }
-  }
-
-  private static boolean isWorthReport(Resources last, Resources used) {
-    return Math.abs(used.cpuMillis() - last.cpuMillis()) > USAGE_CHANGE * last.cpuMillis()
-        || Math.abs(used.memoryMib() - last.memoryMib()) > USAGE_CHANGE * last.memoryMib();
+  private void readInventory(Session session) {
+    long token = plans.leaderClockMillis();
+    gateway
+        .send(session.spec, new WorkerCommand.Fence(derivedPlan.stamp().epoch()))
+        .thenAccept(reply -> shard.execute(() -> inventoryRead(session, reply, token)));
   }
 
-  private void report() {
-    ended.values().removeIf(entry -> store.read(state -> isShown(state, entry)));
-    List<AttemptMessage> due = new ArrayList<>();
-    for (Ended entry : ended.values()) {
-      if ((ticks - entry.tick) % RESEND_TICKS == 0) {
-        due.add(entry.message);
+  private void inventoryRead(Session session, WorkerReply reply, long token) {
+    switch (reply) {
+      case WorkerReply.Done done -> {
+        long now = timer.monotonicMillis();
+        session.failures = 0;
+        session.renewalsLeft = INVENTORY_RENEWALS;
+        reports.addInventory(session.spec.id(), done.tasks(), token, now);
+        if (sessions.get(session.spec.id()) == session) {
+          ask(session, now);
+        }
       }
-    }
-    SessionReportMessage report =
-        differences.setEpoch(derivedPlan.stamp().epoch()).addAllEnded(due).build();
-    differences = SessionReportMessage.newBuilder();
-    boolean empty =
-        report.getEndedCount()
-                + report.getMissingCount()
-                + report.getExtraCount()
-                + report.getUnreachableWorkersCount()
-                + report.getUsageCount()
-            == 0;
-    if (!empty) {
-      deliver(report);
+      case WorkerReply.Stale stale -> standing.askSoon();
+      case WorkerReply.Refused refused -> unanswered(session);
+      case WorkerReply.Unknown unknown -> unanswered(session);
     }
   }
 
-  private boolean isShown(CellState state, Ended entry) {
-    AttemptMessage message = entry.message;
-    Optional<TaskState> task = state.task(new TaskId(message.getJobId(), message.getIndex()));
-    boolean old = timer.monotonicMillis() - entry.atMillis > timings.hostRemoval().toMillis();
-    return task.isEmpty()
-        || task.get().attempt() > message.getAttempt()
-        || (task.get().attempt() == message.getAttempt()
-            && !task.get().workerId().equals(Optional.of(message.getWorkerId())))
-        || (task.get().attempt() < message.getAttempt() && old);
+  /** Takes note that no reply came; what it would have shown is read with the inventory. */
+  private void unanswered(Session session) {
+    session.failures++;
+    session.renewalsLeft = 0;
+    session.nextAtMillis = timer.monotonicMillis() + timings.upkeep().toMillis();
+    if (session.failures > 1) {
+      reports.addUnreachable(session.spec.id());
+    }
   }
 
   private void deliver(SessionReportMessage report) {
@@ -356,25 +281,6 @@
     }
   }
 
-  private static AttemptMessage message(String workerId, TaskReport report) {
-    int outcome = report.ended().map(SessionHolder::number).orElse(0);
-    return AttemptMessage.newBuilder()
-        .setWorkerId(workerId)
-        .setJobId(report.task().jobId())
-        .setIndex(report.task().index())
-        .setAttempt(report.attempt())
-        .setOutcome(outcome)
-        .setCpuMillis(report.used().cpuMillis())
-        .setMemoryMib(report.used().memoryMib())
-        .setAccelerators(report.used().accelerators())
-        .build();
-  }
-
-  @SuppressWarnings("EnumOrdinal")
-  private static int number(TaskOutcome outcome) {
-    return outcome.ordinal() + 1;
-  }
-
   /** Registers the handler of reports at the link. */
   public void registerLeaderHandler() {
     link.register(
@@ -393,24 +299,6 @@
     }
   }
 
-  /**
-   * An attempt of a task; two leaders may give one number to attempts on two workers.
-   *
-   * @param workerId worker of the attempt
-   * @param task the task
-   * @param number number of the attempt
-   */
-  private record Attempt(String workerId, TaskId task, int number) {}
-
-  /**
-   * An ended attempt to be reported.
-   *
-   * @param message the report
-   * @param tick tick at which it was first reported
-   * @param atMillis monotonic time at which it came, in milliseconds
-   */
-  private record Ended(AttemptMessage message, long tick, long atMillis) {}
-
   /** The session of one worker. */
   private static final class Session {
     /** The worker. */
@@ -419,9 +307,12 @@
     /** Monotonic time of the next renewal in milliseconds. */
     private long nextAtMillis;
 
-    /** Renewals without an answer since the last answer. */
+    /** Commands without an answer since the last answer. */
     private int failures;
 
+    /** Renewals until the whole inventory is read, zero if it may not be known. */
+    private int renewalsLeft;
+
     Session(WorkerSpec spec, long nextAtMillis) {
       this.spec = spec;
       this.nextAtMillis = nextAtMillis;
--- a/coordination/src/test/java/org/vanillacove/coordination/cell/TestCell.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/cell/TestCell.java
@@ -34,6 +34,7 @@
   final MemoryLog log = new MemoryLog();
   final MemoryPeerNetwork network = new MemoryPeerNetwork(timer, (from, to) -> 1);
   final MemoryWorkerGateway gateway = new MemoryWorkerGateway();
+  final ReplyFaultGateway replies = new ReplyFaultGateway(gateway, timer);
   final Map<String, CellNode> nodes = new TreeMap<>();
   final Map<String, WorkerModel> workers = new TreeMap<>();
   final Map<String, WorkerModel.PlannedEnd> ends = new HashMap<>();
@@ -97,7 +98,7 @@
             self,
             seeds,
             log,
-            gateway,
+            replies,
             () -> CompletableFuture.completedFuture(Optional.of(List.of())),
             network.link(id),
             timer,
--- a/protocol/src/main/java/org/vanillacove/protocol/platform/WorkerReply.java
+++ b/protocol/src/main/java/org/vanillacove/protocol/platform/WorkerReply.java
@@ -8,7 +8,7 @@
    * The command took effect.
    *
    * @param epoch highest epoch the worker has seen
-   * @param tasks attempts that run on the worker or ended since the last reply
+   * @param tasks what {@link WorkerCommand} says for the command that was sent
    */
   record Done(long epoch, List<TaskReport> tasks) implements WorkerReply {
     /** Copies the reports. */
--- a/standin/src/test/java/org/vanillacove/standin/memory/WorkerModelTest.java
+++ b/standin/src/test/java/org/vanillacove/standin/memory/WorkerModelTest.java
@@ -2,9 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.vanillacove.protocol.platform.TaskReport;
 import org.vanillacove.protocol.platform.WorkerCommand;
 import org.vanillacove.protocol.platform.WorkerReply;
 import org.vanillacove.state.api.AvailabilityZone;
@@ -61,6 +63,58 @@
     assertThat(worker.handle(start(1, 1, 4_001))).isInstanceOf(WorkerReply.Refused.class);
   }
 
+  @Test
+  void renewalShowsEachChangeOnce() {
+    worker.handle(new WorkerCommand.Fence(1));
+    worker.handle(start(1, 1, 1_000));
+
+    assertThat(renew()).containsExactly(Optional.empty());
+    assertThat(renew()).isEmpty();
+    worker.handle(new WorkerCommand.Stop(1, TASK, 1, false));
+    assertThat(renew()).containsExactly(Optional.of(TaskOutcome.CANCELLED));
+    assertThat(renew()).isEmpty();
+  }
+
+  @Test
+  void inventoryShowsEndThatWasShownBefore() {
+    worker.handle(new WorkerCommand.Fence(1));
+    worker.handle(start(1, 1, 1_000));
+    worker.handle(new WorkerCommand.Stop(1, TASK, 1, false));
+    renew();
+
+    assertThat(ends(worker.handle(new WorkerCommand.Fence(1))))
+        .containsExactly(Optional.of(TaskOutcome.CANCELLED));
+  }
+
+  @Test
+  void attemptThatEndedIsNotStartedAgain() {
+    worker.handle(start(1, 1, 1_000));
+    worker.handle(new WorkerCommand.Stop(1, TASK, 1, false));
+
+    assertThat(ends(worker.handle(start(1, 1, 1_000))))
+        .containsExactly(Optional.of(TaskOutcome.CANCELLED));
+    assertThat(worker.runningTasks()).isEmpty();
+  }
+
+  @Test
+  void renewalIsRefusedAfterRebootUntilTheInventoryIsRead() {
+    worker.handle(new WorkerCommand.Fence(1));
+    worker.reboot();
+
+    assertThat(worker.handle(new WorkerCommand.Renew(1, 1_000, false)))
+        .isInstanceOf(WorkerReply.Refused.class);
+    worker.handle(new WorkerCommand.Fence(1));
+    assertThat(renew()).isEmpty();
+  }
+
+  private List<Optional<TaskOutcome>> renew() {
+    return ends(worker.handle(new WorkerCommand.Renew(1, 1_000, false)));
+  }
+
+  private static List<Optional<TaskOutcome>> ends(WorkerReply reply) {
+    return ((WorkerReply.Done) reply).tasks().stream().map(TaskReport::ended).toList();
+  }
+
   private static WorkerCommand.Start start(long epoch, int attempt, long cpuMillis) {
     return new WorkerCommand.Start(
         epoch, TASK, attempt, new Resources(cpuMillis, 100, 0), LossPolicy.MOVE, 1_000, "run");
