Spare the leader sessions, the reading of its own records and needless asks

Change: the leader takes itself out of the plan's session holders while another live host is in its region. A host folds records of an append that was answered from memory, in their place in the order, and reads only gaps between them. The words of majorities are asked for only when the leader's word, or for the leader the freshness of its read, has less than half of the standing time left; whether a host may vote is still judged at each round.

Tests: two in StreamReaderTest are new; no other changed.

--- a/coordination/src/main/java/org/vanillacove/coordination/membership/StandingKeeper.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/membership/StandingKeeper.java
@@ -183,14 +183,27 @@
     return qualified && now - startedAtMillis >= timings.standing().toMillis();
   }
 
+  /** Asks the leader each time, all others only if the words that hold will end soon. */
   private void ask() {
     List<HostSpec> hosts = store.read(CellState::hosts);
+    long now = timer.monotonicMillis();
+    long word = leaderWordUntilMillis;
     if (isLeader()) {
-      askForSupport(hosts);
+      word = reader.freshAsOfMillis() + timings.standing().toMillis();
+      if (isEndingSoon(word, now)) {
+        askForSupport(hosts);
+      }
     } else {
       askLeader();
     }
-    askRegion(hosts);
+    mayVote();
+    if (isEndingSoon(word, now)) {
+      askRegion(hosts);
+    }
+  }
+
+  private boolean isEndingSoon(long untilMillis, long nowMillis) {
+    return untilMillis - nowMillis < timings.standing().toMillis() / 2;
   }
 
   private void askLeader() {
--- a/coordination/src/main/java/org/vanillacove/coordination/scheduling/WorkerWatcher.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/scheduling/WorkerWatcher.java
@@ -186,12 +186,12 @@
 
   /** Publishes a new plan if something changed. */
   void flushPlan() {
-    Set<String> live = liveHosts();
-    if (!outdated && live.equals(plannedHosts)) {
+    Set<String> holders = sessionHolders();
+    if (!outdated && holders.equals(plannedHosts)) {
       return;
     }
     outdated = false;
-    plannedHosts = live;
+    plannedHosts = holders;
     version++;
     PlanStamp stamp = new PlanStamp(epoch, version);
     Set<String> suspended = new TreeSet<>();
@@ -202,7 +202,7 @@
         worker.published(stamp, now);
       }
     }
-    context.plans().adopt(new SessionPlan(stamp, new TreeSet<>(live), suspended));
+    context.plans().adopt(new SessionPlan(stamp, new TreeSet<>(holders), suspended));
   }
 
   /** Fences silent workers, looks for lapses, the worker list and dead hosts. */
@@ -225,15 +225,34 @@
     rounds++;
   }
 
-  private Set<String> liveHosts() {
-    Set<String> live = new TreeSet<>();
-    for (HostSpec host : context.store().read(CellState::hosts)) {
-      boolean leaving = context.membership().isLeaving(host.id());
-      if (context.membership().isReachable(host.id()) && !leaving) {
-        live.add(host.id());
+  /** Returns the live hosts; the leader holds sessions only if it is alone in its region. */
+  private Set<String> sessionHolders() {
+    Set<String> holders = new TreeSet<>();
+    List<HostSpec> hosts = context.store().read(CellState::hosts);
+    for (HostSpec host : hosts) {
+      if (isLive(host) && (!isSelf(host) || !hasLiveNeighbour(host, hosts))) {
+        holders.add(host.id());
       }
     }
-    return live;
+    return holders;
+  }
+
+  private boolean isLive(HostSpec host) {
+    return context.membership().isReachable(host.id())
+        && !context.membership().isLeaving(host.id());
+  }
+
+  private boolean isSelf(HostSpec host) {
+    return host.id().equals(context.selfId());
+  }
+
+  private boolean hasLiveNeighbour(HostSpec host, List<HostSpec> hosts) {
+    return hosts.stream()
+        .anyMatch(
+            other ->
+                !other.id().equals(host.id())
+                    && other.zone().region().equals(host.zone().region())
+                    && isLive(other));
   }
 
   private void probe(WorkerWatch worker) {
--- a/coordination/src/main/java/org/vanillacove/coordination/stream/StreamReader.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/stream/StreamReader.java
@@ -2,8 +2,10 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.TreeMap;
 import org.vanillacove.coordination.api.CellTimings;
 import org.vanillacove.protocol.platform.PlatformLog;
 import org.vanillacove.protocol.platform.ReadOutcome;
@@ -37,6 +39,9 @@
   /** Times that are kept. */
   private final CellTimings timings;
 
+  /** Records that this host appended beyond the folded state, by offset. */
+  private final TreeMap<Long, ByteString> own = new TreeMap<>();
+
   /** Serialises reads. */
   private final EventShard shard = new EventShard();
 
@@ -89,6 +94,21 @@
     shard.execute(this::read);
   }
 
+  /** Takes records that this host appended, so that they need not be read back. */
+  void appended(long firstOffset, List<ByteString> records) {
+    shard.execute(
+        () -> {
+          long offset = firstOffset;
+          for (ByteString record : records) {
+            own.put(offset++, record);
+          }
+          foldOwn();
+          if (!own.isEmpty()) {
+            read();
+          }
+        });
+  }
+
   /**
    * Returns the monotonic time in milliseconds at which the newest read that saw the end of the log
    * began; all records before that time have been folded.
@@ -111,7 +131,9 @@
     readAgain = false;
     long begun = timer.monotonicMillis();
     long from = diverged ? 0 : store.read(CellState::nextOffset);
-    log.read(from, MAX_RECORDS).thenAccept(outcome -> shard.execute(() -> handle(outcome, begun)));
+    long gap = diverged || own.isEmpty() ? MAX_RECORDS : own.firstKey() - from;
+    int limit = Math.clamp(gap, 1, MAX_RECORDS);
+    log.read(from, limit).thenAccept(outcome -> shard.execute(() -> handle(outcome, begun)));
   }
 
   private void handle(ReadOutcome outcome, long begun) {
@@ -135,8 +157,8 @@
     }
     started = true;
     fold(batch);
-    long next = batch.firstOffset() + batch.records().size();
-    if (next >= batch.endOffset()) {
+    foldOwn();
+    if (store.read(CellState::nextOffset) >= batch.endOffset()) {
       freshAsOfMillis = begun;
     } else {
       readAgain = true;
@@ -146,18 +168,37 @@
   private void fold(ReadOutcome.Batch batch) {
     long offset = batch.firstOffset();
     for (ByteString bytes : batch.records()) {
-      Optional<RecordEnvelope> envelope = RecordCodec.decode(bytes);
-      if (envelope.isPresent()) {
-        store.apply(offset, envelope.get());
-        compare(envelope.get());
-      } else {
-        LOGGER.atWarning().log("stream: record %d cannot be read and is passed over.", offset);
-        store.skip(offset);
+      if (offset >= store.read(CellState::nextOffset)) {
+        fold(offset, bytes);
       }
       offset++;
     }
   }
 
+  /** Folds the records of this host that follow the folded state. */
+  private void foldOwn() {
+    if (!started || diverged) {
+      return;
+    }
+    long next = store.read(CellState::nextOffset);
+    own.headMap(next).clear();
+    while (!diverged && own.containsKey(next)) {
+      fold(next, own.remove(next));
+      next++;
+    }
+  }
+
+  private void fold(long offset, ByteString bytes) {
+    Optional<RecordEnvelope> envelope = RecordCodec.decode(bytes);
+    if (envelope.isPresent()) {
+      store.apply(offset, envelope.get());
+      compare(envelope.get());
+    } else {
+      LOGGER.atWarning().log("stream: record %d cannot be read and is passed over.", offset);
+      store.skip(offset);
+    }
+  }
+
   private void compare(RecordEnvelope envelope) {
     if (envelope.record() instanceof CellRecord.StateDigest digest) {
       OptionalLong own = store.digestAt(digest.throughOffset());
--- a/coordination/src/main/java/org/vanillacove/coordination/stream/StreamWriter.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/stream/StreamWriter.java
@@ -194,7 +194,7 @@
     appending = true;
     notBeforeMillis = timer.monotonicMillis() + timings.batch().toMillis();
     List<ByteString> bytes = batch.stream().map(this::encode).toList();
-    log.append(bytes).thenAccept(outcome -> shard.execute(() -> handle(outcome)));
+    log.append(bytes).thenAccept(outcome -> shard.execute(() -> handle(outcome, bytes)));
   }
 
   private List<Proposal> takeBatch() {
@@ -218,7 +218,7 @@
     return new ProposalId(writerId, proposal.sequence).toString();
   }
 
-  private void handle(AppendOutcome outcome) {
+  private void handle(AppendOutcome outcome, List<ByteString> bytes) {
     appending = false;
     switch (outcome) {
       case AppendOutcome.Appended done -> {
@@ -228,7 +228,7 @@
           }
         }
         batch = List.of();
-        reader.readSoon();
+        reader.appended(done.firstOffset(), bytes);
       }
       case AppendOutcome.Refused refused -> {
         LOGGER.atInfo().atMostEvery(10, TimeUnit.SECONDS).log(
--- a/coordination/src/test/java/org/vanillacove/coordination/stream/StreamReaderTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/stream/StreamReaderTest.java
@@ -54,6 +54,37 @@
     assertThat(store.epoch()).isEqualTo(1);
   }
 
+  @Test
+  void ownRecordsAreFoldedInOrderWithoutReadingThemBack() {
+    append(new CellRecord.LeaderClaimed("h1"), 1);
+    reader.start();
+    append(new CellRecord.ConfigurationChanged(0, "{}", "other", "first"), 2);
+    ByteString own = record(new CellRecord.ConfigurationChanged(1, "{}", "own", "second"), 3);
+    log.append(List.of(own));
+    reader.appended(2, List.of(own));
+
+    assertThat((long) store.read(CellState::nextOffset)).isEqualTo(3);
+    assertThat(store.configurationVersion()).isEqualTo(2);
+    log.setFault(MemoryLog.Fault.SILENT);
+    ByteString next = record(new CellRecord.ConfigurationChanged(2, "{}", "own", "third"), 4);
+    reader.appended(3, List.of(next));
+
+    assertThat(store.configurationVersion()).isEqualTo(3);
+  }
+
+  @Test
+  void ownRecordsWaitForTheStartOfTheLogToBeRead() {
+    append(new CellRecord.LeaderClaimed("h1"), 1);
+    log.setFault(MemoryLog.Fault.SILENT);
+    reader.start();
+    reader.appended(0, List.of(record(new CellRecord.LeaderClaimed("h1"), 1)));
+
+    assertThat(store.epoch()).isZero();
+    log.setFault(MemoryLog.Fault.NONE);
+    timer.advance(1_000);
+    assertThat(store.epoch()).isEqualTo(1);
+  }
+
   private void fillUpToDigest() {
     for (int i = 1; i <= CellStore.DIGEST_INTERVAL; i++) {
       append(new CellRecord.ConfigurationChanged(0, "{}", "op", "why"), i);
@@ -63,9 +94,12 @@
   }
 
   private void append(CellRecord record, long sequence) {
+    log.append(List.of(record(record, sequence)));
+  }
+
+  private static ByteString record(CellRecord record, long sequence) {
     long epoch = record instanceof CellRecord.LeaderClaimed ? 1 : 0;
-    log.append(
-        List.of(RecordCodec.encode(new RecordEnvelope("h1-x:" + sequence, epoch, "h1", record))));
+    return RecordCodec.encode(new RecordEnvelope("h1-x:" + sequence, epoch, "h1", record));
   }
 
   private void countReloads() {
