End hosts together without waiting for a hand-over nobody can take

With times in the log: the hosts ended one after the other, 5 s each, of which about 2 s each are the ends of the two HTTP servers; the last host waited up to 5 s for another leader although nobody was left; and the stand-ins' six backend servers were stopped one after the other, 2 s each.

Change: a leader that leaves waits only for hosts that are reachable and not leaving themselves. The local cell ends its hosts together and its backend servers together. The departure and its result are logged.

Tests: hostsThatLeaveTogetherDoNotWaitForEachOther and hostWhoseNeighboursAreDeadLeavesOnceItSuspectsThem in CellNodeTest are new.

--- a/coordination/src/main/java/org/vanillacove/coordination/cell/CellNode.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/cell/CellNode.java
@@ -1,5 +1,6 @@
 package org.vanillacove.coordination.cell;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -44,6 +45,9 @@
 
 /** One entry host's part in the cell. */
 public final class CellNode implements CellView, CellControl, Membership, AutoCloseable {
+  /** Logger. */
+  private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
   /** Longest time that leaving waits for another leader, in milliseconds. */
   private static final long HANDOVER_MILLIS = 5_000;
 
@@ -356,7 +360,7 @@
       membership.setLeaving();
     }
     Optional<String> leader = store.read(CellState::leader);
-    boolean alone = agreedHosts().stream().noneMatch(this::isReachableOther);
+    boolean alone = agreedHosts().stream().noneMatch(this::canTakeOver);
     boolean handedOver = leader.isEmpty() || !leader.get().equals(self.id());
     if (drained && (handedOver || alone || late)) {
       depart(left);
@@ -365,20 +369,25 @@
     }
   }
 
-  private boolean isReachableOther(HostSpec host) {
-    return !host.id().equals(self.id()) && membership.isReachable(host.id());
+  private boolean canTakeOver(HostSpec host) {
+    return !host.id().equals(self.id())
+        && membership.isReachable(host.id())
+        && !membership.isLeaving(host.id());
   }
 
   private void depart(CompletableFuture<Void> left) {
+    LOGGER.atInfo().log("cell: %s leaves the membership.", self.id());
     writer
         .write(0, new CellRecord.HostLeft(self.id(), "leaves"), Optional.of(LEAVE_DEADLINE))
         .thenAccept(
-            result ->
-                timer.after(
-                    Duration.ZERO,
-                    () -> {
-                      close();
-                      left.complete(null);
-                    }));
+            result -> {
+              LOGGER.atInfo().log("cell: %s has left: %s", self.id(), result);
+              timer.after(
+                  Duration.ZERO,
+                  () -> {
+                    close();
+                    left.complete(null);
+                  });
+            });
   }
 }
--- a/coordination/src/test/java/org/vanillacove/coordination/cell/CellNodeTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/cell/CellNodeTest.java
@@ -2,11 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.vanillacove.coordination.api.CellTimings;
 import org.vanillacove.coordination.api.CellView;
 import org.vanillacove.coordination.api.ProposalOutcome;
 import org.vanillacove.standin.memory.WorkerModel;
@@ -68,6 +70,31 @@
     assertThat(cell.starts(TASK)).isEqualTo(1);
   }
 
+  @Test
+  void hostsThatLeaveTogetherDoNotWaitForEachOther() {
+    TestCell cell = new TestCell(3, 3);
+    cell.settle();
+    List<CompletableFuture<Void>> left = cell.nodes.values().stream().map(CellNode::leave).toList();
+    cell.seconds(2);
+
+    assertThat(left).allSatisfy(done -> assertThat(done).isCompleted());
+  }
+
+  @Test
+  void hostWhoseNeighboursAreDeadLeavesOnceItSuspectsThem() {
+    TestCell cell = new TestCell(3, 3);
+    cell.settle();
+    CellNode leader = cell.leader().orElseThrow();
+    cell.nodes.keySet().stream()
+        .filter(id -> !id.equals(leader.self().id()))
+        .toList()
+        .forEach(cell::kill);
+    CompletableFuture<Void> left = leader.leave();
+    cell.timer.advance(CellTimings.DEFAULTS.suspicion().toMillis() + 1_500);
+
+    assertThat(left).isCompleted();
+  }
+
   private static CompletableFuture<ProposalOutcome> submit(
       TestCell cell, RerunPolicy rerun, LossPolicy loss) {
     return cell.node()
--- a/daemon/src/main/java/org/vanillacove/daemon/local/LocalCell.java
+++ b/daemon/src/main/java/org/vanillacove/daemon/local/LocalCell.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.stream.IntStream;
 import org.vanillacove.coordination.timer.ScheduledTimerService;
@@ -67,11 +68,11 @@
     return platform;
   }
 
-  /** Ends gracefully, one host after the other. */
+  /** Ends gracefully, all hosts together. */
   public void drain() {
-    for (EntryHost host : hosts) {
-      host.drain().join();
-    }
+    CompletableFuture<?>[] drained =
+        hosts.stream().map(EntryHost::drain).toArray(CompletableFuture<?>[]::new);
+    CompletableFuture.allOf(drained).join();
     close();
   }
 
--- a/daemon/src/main/java/org/vanillacove/daemon/local/LocalPlatform.java
+++ b/daemon/src/main/java/org/vanillacove/daemon/local/LocalPlatform.java
@@ -105,7 +105,7 @@
   @Override
   public void close() {
     subscription.cancel();
-    backends.forEach(BackendServer::close);
+    backends.parallelStream().forEach(BackendServer::close);
     workers.forEach(WorkerServer::close);
     server.close();
   }
