Let a leader whose state diverged load it anew

Cause: digests are written by the leader only, so when the leader itself had diverged all others loaded their state anew, at every digest, and it did not.

Change: a host that differs from the same digest after it loaded its state anew writes its own digest. A leader to which more than half of the other hosts object loads its state anew; this ends its term, and it claims again. One host that objects changes nothing. DigestAgreement judges digests for StreamReader.

Tests: DigestAgreementTest, with three readers of which the leader's missed a record, is new. StreamReaderTest names its host, which the reader now needs; its checks are the same.

--- a/coordination/src/main/java/org/vanillacove/coordination/cell/CellNode.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/cell/CellNode.java
@@ -145,8 +145,9 @@
         Long.toString(timer.wallMillis(), Character.MAX_RADIX)
             + Long.toString(System.nanoTime() & 0xfffff, Character.MAX_RADIX);
     PeerTable peers = new PeerTable();
-    reader = new StreamReader(log, store, timer, timings);
+    reader = new StreamReader(self.id(), log, store, timer, timings);
     writer = new StreamWriter(log, reader, store, timer, timings, self.id(), incarnation);
+    reader.onObjection(digest -> writer.write(0, digest));
     membership =
         new MembershipService(
             self, seeds, link, hostList, timer, timings, reader, writer, store, plans, peers);
--- a/coordination/src/main/java/org/vanillacove/coordination/stream/StreamReader.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/stream/StreamReader.java
@@ -4,8 +4,8 @@
 import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.vanillacove.coordination.api.CellTimings;
 import org.vanillacove.protocol.platform.PlatformLog;
 import org.vanillacove.protocol.platform.ReadOutcome;
@@ -42,6 +42,12 @@
   /** Records that this host appended beyond the folded state, by offset. */
   private final TreeMap<Long, ByteString> own = new TreeMap<>();
 
+  /** Judges digests. */
+  private final DigestAgreement agreement;
+
+  /** Takes digests that this host puts against the leader's. */
+  private volatile Consumer<CellRecord.StateDigest> objections = digest -> {};
+
   /** Serialises reads. */
   private final EventShard shard = new EventShard();
 
@@ -60,9 +66,6 @@
   /** Whether the state has to be loaded anew. */
   private boolean diverged;
 
-  /** Offset of the newest digest that differed; the state is loaded anew once for each. */
-  private long comparedThrough = -1;
-
   /** Monotonic time at which the newest read that saw the end of the log began, in milliseconds. */
   private volatile long freshAsOfMillis = Long.MIN_VALUE / 2;
 
@@ -70,7 +73,9 @@
   private volatile boolean logReachable;
 
   /** Creates a reader that does not read yet. */
-  public StreamReader(PlatformLog log, CellStore store, TimerService timer, CellTimings timings) {
+  public StreamReader(
+      String selfId, PlatformLog log, CellStore store, TimerService timer, CellTimings timings) {
+    this.agreement = new DigestAgreement(selfId, store);
     this.log = log;
     this.store = store;
     this.timer = timer;
@@ -83,6 +88,11 @@
     readSoon();
   }
 
+  /** Sets who takes digests that this host puts against the leader's. */
+  public void onObjection(Consumer<CellRecord.StateDigest> taker) {
+    objections = taker;
+  }
+
   /** Stops to follow the tail. */
   public void close() {
     subscription.ifPresent(TimerService.Subscription::cancel);
@@ -200,17 +210,26 @@
   }
 
   private void compare(RecordEnvelope envelope) {
-    if (envelope.record() instanceof CellRecord.StateDigest digest) {
-      OptionalLong own = store.digestAt(digest.throughOffset());
-      boolean differs = own.isPresent() && own.getAsLong() != digest.digest();
-      if (differs && digest.throughOffset() > comparedThrough) {
-        comparedThrough = digest.throughOffset();
+    if (!(envelope.record() instanceof CellRecord.StateDigest digest)) {
+      return;
+    }
+    long through = digest.throughOffset();
+    switch (agreement.judge(envelope.author(), digest)) {
+      case KEEP -> {}
+      case RELOAD -> {
         LOGGER.atSevere().log(
             "stream: state at %d differs from that of %s, loading it anew.",
-            digest.throughOffset(), envelope.author());
+            through, envelope.author());
         diverged = true;
         readAgain = true;
       }
+      case OBJECT -> {
+        LOGGER.atSevere().log(
+            "stream: state at %d differs from that of %s after it was loaded anew.",
+            through, envelope.author());
+        objections.accept(
+            new CellRecord.StateDigest(through, store.digestAt(through).orElseThrow()));
+      }
     }
   }
 
--- /dev/null
+++ b/coordination/src/test/java/org/vanillacove/coordination/stream/DigestAgreementTest.java
@@ -0,0 +1,124 @@
+package org.vanillacove.coordination.stream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.vanillacove.coordination.api.CellTimings;
+import org.vanillacove.protocol.platform.AppendOutcome;
+import org.vanillacove.protocol.platform.PlatformLog;
+import org.vanillacove.protocol.platform.ReadOutcome;
+import org.vanillacove.protocol.record.RecordCodec;
+import org.vanillacove.standin.memory.ManualTimerService;
+import org.vanillacove.standin.memory.MemoryLog;
+import org.vanillacove.state.api.AvailabilityZone;
+import org.vanillacove.state.api.CellRecord;
+import org.vanillacove.state.api.HostSpec;
+import org.vanillacove.state.api.RecordEnvelope;
+import org.vanillacove.state.cell.CellDigest;
+import org.vanillacove.state.cell.FoldOutcome;
+
+/** Tests {@link DigestAgreement} with the readers of three hosts, of which h0 leads. */
+class DigestAgreementTest {
+  private static final int DAMAGED_OFFSET = 4;
+  private final MemoryLog log = new MemoryLog();
+  private final ManualTimerService timer = new ManualTimerService(0);
+  private final List<CellStore> stores = new ArrayList<>();
+  private long sequence;
+  private int damagedReads;
+
+  @Test
+  void leaderThatDivergedLoadsItsStateAnew() {
+    startHosts(0);
+    assertThat(digests()).hasSize(2);
+    long own = stores.getFirst().digestAt(CellStore.DIGEST_INTERVAL - 1).orElseThrow();
+    append("h0", 1, new CellRecord.StateDigest(CellStore.DIGEST_INTERVAL - 1, own));
+    timer.advance(3_000);
+
+    assertThat(digests()).hasSize(1);
+  }
+
+  @Test
+  void oneObjectionDoesNotMakeTheLeaderLoadItsStateAnew() {
+    startHosts(1);
+    int[] reloads = new int[1];
+    stores
+        .getFirst()
+        .addListener(
+            new FoldListener() {
+              @Override
+              public void folded(long offset, RecordEnvelope envelope, FoldOutcome outcome) {}
+
+              @Override
+              public void reloaded() {
+                reloads[0]++;
+              }
+            });
+    append("h1", 0, new CellRecord.StateDigest(CellStore.DIGEST_INTERVAL - 1, 17));
+    timer.advance(3_000);
+
+    assertThat(reloads[0]).isZero();
+  }
+
+  private List<Long> digests() {
+    return stores.stream().map(store -> store.read(CellDigest::of)).distinct().toList();
+  }
+
+  /** Starts three hosts, of which one reads a damaged record once. */
+  private void startHosts(int damaged) {
+    append("h0", 1, new CellRecord.LeaderClaimed("h0"));
+    for (int i = 0; i < 3; i++) {
+      append("h" + i, 0, new CellRecord.HostJoined(host(i)));
+    }
+    while (log.endOffset() < CellStore.DIGEST_INTERVAL) {
+      append("h0", 0, new CellRecord.ConfigurationChanged(0, "{}", "op", "why"));
+    }
+    for (int i = 0; i < 3; i++) {
+      CellStore store = new CellStore();
+      String id = "h" + i;
+      PlatformLog seen = i == damaged ? new DamagedLog() : log;
+      StreamReader reader = new StreamReader(id, seen, store, timer, CellTimings.DEFAULTS);
+      reader.onObjection(digest -> append(id, 0, digest));
+      stores.add(store);
+      reader.start();
+    }
+    timer.advance(3_000);
+  }
+
+  private static HostSpec host(int i) {
+    return new HostSpec("h" + i, "127.0.0.1:" + i, new AvailabilityZone("attica", "attica-a"));
+  }
+
+  private void append(String author, long epoch, CellRecord record) {
+    String proposal = author + "-x:" + ++sequence;
+    log.append(List.of(RecordCodec.encode(new RecordEnvelope(proposal, epoch, author, record))));
+  }
+
+  /** The log with one record that cannot be read the first time. */
+  private final class DamagedLog implements PlatformLog {
+    @Override
+    public CompletableFuture<AppendOutcome> append(List<ByteString> records) {
+      return log.append(records);
+    }
+
+    @Override
+    public CompletableFuture<ReadOutcome> read(long fromOffset, int maxRecords) {
+      return log.read(fromOffset, maxRecords).thenApply(this::damage);
+    }
+
+    private ReadOutcome damage(ReadOutcome outcome) {
+      if (outcome instanceof ReadOutcome.Batch batch) {
+        int index = (int) (DAMAGED_OFFSET - batch.firstOffset());
+        if (index >= 0 && index < batch.records().size() && damagedReads++ == 0) {
+          List<ByteString> records = new ArrayList<>(batch.records());
+          records.set(index, ByteString.copyFromUtf8("damaged"));
+          return new ReadOutcome.Batch(batch.firstOffset(), records, batch.endOffset());
+        }
+      }
+      return outcome;
+    }
+  }
+}
--- a/coordination/src/test/java/org/vanillacove/coordination/stream/StreamReaderTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/stream/StreamReaderTest.java
@@ -19,7 +19,8 @@
   private final MemoryLog log = new MemoryLog();
   private final ManualTimerService timer = new ManualTimerService(0);
   private final CellStore store = new CellStore();
-  private final StreamReader reader = new StreamReader(log, store, timer, CellTimings.DEFAULTS);
+  private final StreamReader reader =
+      new StreamReader("h2", log, store, timer, CellTimings.DEFAULTS);
   private int reloads;
 
   @Test
