--- a/coordination/src/main/java/org/vanillacove/coordination/stream/StreamReader.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/stream/StreamReader.java
@@ -2,8 +2,10 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
+import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
+import java.util.TreeMap;
+import java.util.function.Consumer;
 import org.vanillacove.coordination.api.CellTimings;
 import org.vanillacove.protocol.platform.PlatformLog;
 import org.vanillacove.protocol.platform.ReadOutcome;
@@ -37,6 +39,15 @@
   /** Times that are kept. */
   private final CellTimings timings;
 
+  /** Records that this host appended beyond the folded state, by offset. */
+  private final TreeMap<Long, ByteString> own = new TreeMap<>();
+
+  /** Judges digests. */
+  private final DigestAgreement agreement;
+
+  /** Takes digests that this host puts against the leader's. */
+  private volatile Consumer<CellRecord.StateDigest> objections = digest -> {};
+
   /** Serialises reads. */
   private final EventShard shard = new EventShard();
 
@@ -55,9 +66,6 @@
   /** Whether the state has to be loaded anew. */
   private boolean diverged;
 
-  /** Offset of the newest digest that differed; the state is loaded anew once for each. */
-  private long comparedThrough = -1;
-
   /** Monotonic time at which the newest read that saw the end of the log began, in milliseconds. */
   private volatile long freshAsOfMillis = Long.MIN_VALUE / 2;
 
@@ -65,7 +73,9 @@
   private volatile boolean logReachable;
 
   /** Creates a reader that does not read yet. */
-  public StreamReader(PlatformLog log, CellStore store, TimerService timer, CellTimings timings) {
+  public StreamReader(
+      String selfId, PlatformLog log, CellStore store, TimerService timer, CellTimings timings) {
+    this.agreement = new DigestAgreement(selfId, store);
     this.log = log;
     this.store = store;
     this.timer = timer;
@@ -78,6 +88,11 @@
     readSoon();
   }
 
+  /** Sets who takes digests that this host puts against the leader's. */
+  public void onObjection(Consumer<CellRecord.StateDigest> taker) {
+    objections = taker;
+  }
+
   /** Stops to follow the tail. */
   public void close() {
     subscription.ifPresent(TimerService.Subscription::cancel);
@@ -89,6 +104,21 @@
     shard.execute(this::read);
   }
 
+  /** Takes records that this host appended, so that they need not be read back. */
+  void appended(long firstOffset, List<ByteString> records) {
+    shard.execute(
+        () -> {
+          long offset = firstOffset;
+          for (ByteString record : records) {
+            own.put(offset++, record);
+          }
+          foldOwn();
+          if (!own.isEmpty()) {
+            read();
+          }
+        });
+  }
+
   /**
    * Returns the monotonic time in milliseconds at which the newest read that saw the end of the log
    * began; all records before that time have been folded.
@@ -111,7 +141,9 @@
     readAgain = false;
     long begun = timer.monotonicMillis();
     long from = diverged ? 0 : store.read(CellState::nextOffset);
-    log.read(from, MAX_RECORDS).thenAccept(outcome -> shard.execute(() -> handle(outcome, begun)));
+    long gap = diverged || own.isEmpty() ? MAX_RECORDS : own.firstKey() - from;
+    int limit = Math.clamp(gap, 1, MAX_RECORDS);
+    log.read(from, limit).thenAccept(outcome -> shard.execute(() -> handle(outcome, begun)));
   }
 
   private void handle(ReadOutcome outcome, long begun) {
@@ -135,8 +167,8 @@
     }
     started = true;
     fold(batch);
-    long next = batch.firstOffset() + batch.records().size();
-    if (next >= batch.endOffset()) {
+    foldOwn();
+    if (store.read(CellState::nextOffset) >= batch.endOffset()) {
       freshAsOfMillis = begun;
     } else {
       readAgain = true;
@@ -146,30 +178,58 @@
   private void fold(ReadOutcome.Batch batch) {
     long offset = batch.firstOffset();
     for (ByteString bytes : batch.records()) {
-      Optional<RecordEnvelope> envelope = RecordCodec.decode(bytes);
-      if (envelope.isPresent()) {
-        store.apply(offset, envelope.get());
-        compare(envelope.get());
-      } else {
-        LOGGER.atWarning().log("stream: record %d cannot be read and is passed over.", offset);
-        store.skip(offset);
+      if (offset >= store.read(CellState::nextOffset)) {
+        fold(offset, bytes);
       }
       offset++;
     }
   }
 
+  /** Folds the records of this host that follow the folded state. */
+  private void foldOwn() {
+    if (!started || diverged) {
+      return;
+    }
+    long next = store.read(CellState::nextOffset);
+    own.headMap(next).clear();
+    while (!diverged && own.containsKey(next)) {
+      fold(next, own.remove(next));
+      next++;
+    }
+  }
+
+  private void fold(long offset, ByteString bytes) {
+    Optional<RecordEnvelope> envelope = RecordCodec.decode(bytes);
+    if (envelope.isPresent()) {
+      store.apply(offset, envelope.get());
+      compare(envelope.get());
+    } else {
+      LOGGER.atWarning().log("stream: record %d cannot be read and is passed over.", offset);
+      store.skip(offset);
+    }
+  }
+
   private void compare(RecordEnvelope envelope) {
-    if (envelope.record() instanceof CellRecord.StateDigest digest) {
-      OptionalLong own = store.digestAt(digest.throughOffset());
-      boolean differs = own.isPresent() && own.getAsLong() != digest.digest();
-      if (differs && digest.throughOffset() > comparedThrough) {
-        comparedThrough = digest.throughOffset();
+    if (!(envelope.record() instanceof CellRecord.StateDigest digest)) {
+      return;
+    }
+    long through = digest.throughOffset();
+    switch (agreement.judge(envelope.author(), digest)) {
+      case KEEP -> {}
+      case RELOAD -> {
         LOGGER.atSevere().log(
             "stream: state at %d differs from that of %s, loading it anew.",
-            digest.throughOffset(), envelope.author());
+            through, envelope.author());
         diverged = true;
         readAgain = true;
       }
+      case OBJECT -> {
+        LOGGER.atSevere().log(
+            "stream: state at %d differs from that of %s after it was loaded anew.",
+            through, envelope.author());
+        objections.accept(
+            new CellRecord.StateDigest(through, store.digestAt(through).orElseThrow()));
+      }
     }
   }
 
