Refuse bodies that are not UTF-8 and exception values that overflow

Three faults were found. A body with bytes that are not UTF-8 was accepted with the bytes replaced; it is now refused. A field name that is too long was blamed on the field before it; now on the object that holds it.

Ruled out: infinite numbers within a configuration document reach its checks as the text Infinity and are refused there by field, so nothing was changed for them.

--- a/protocol/src/main/java/org/vanillacove/protocol/configuration/ConfigurationLoader.java
+++ b/protocol/src/main/java/org/vanillacove/protocol/configuration/ConfigurationLoader.java
@@ -147,6 +147,10 @@
       faults.add(
           new FieldFault(path + ".field", "no such field; there are " + ExceptionField.paths()));
     }
+    JsonNode value = node.path("value");
+    if (value.isNumber() && !value.canConvertToLong()) {
+      faults.add(new FieldFault(path + ".value", "out of range: " + value));
+    }
     Optional<Instant> expires = Optional.empty();
     if (node.has("expires")) {
       expires = instant(node.path("expires").asText());
@@ -161,7 +165,7 @@
                 node.path("name").asText(),
                 scope(node.path("scope")),
                 known,
-                value(node.path("value")),
+                value(value),
                 node.path("reason").asText(),
                 node.path("owner").asText(),
                 end));
--- a/protocol/src/main/java/org/vanillacove/protocol/document/DocumentReader.java
+++ b/protocol/src/main/java/org/vanillacove/protocol/document/DocumentReader.java
@@ -48,6 +48,9 @@
   /** Pattern of schemas for texts that are not blank. */
   private static final String NOT_BLANK = "\\S";
 
+  /** Start of the parser's message about a long name, whose context still names the one before. */
+  private static final String NAME_LIMIT = "Name ";
+
   /** Path of the document as a whole. */
   private static final String ROOT = "$";
 
@@ -108,8 +111,10 @@
           ? new DocumentOutcome.Accepted<>(root)
           : refused(ROOT, "text follows the end of the document");
     } catch (StreamConstraintsException e) {
+      JsonPointer place = parser.getParsingContext().pathAsPointer();
+      boolean inName = e.getOriginalMessage().startsWith(NAME_LIMIT);
       return refused(
-          jsonPath(parser.getParsingContext().pathAsPointer()),
+          jsonPath(inName && !place.matches() ? place.head() : place),
           "too long or nested too deeply: " + messageOf(e));
     } catch (JsonProcessingException e) {
       return refused(jsonPath(parser.getParsingContext().pathAsPointer()), messageOf(e));
--- a/transport/src/main/java/org/vanillacove/transport/operator/CellResource.java
+++ b/transport/src/main/java/org/vanillacove/transport/operator/CellResource.java
@@ -64,7 +64,7 @@
     if (dependencies.view().workers().stream().noneMatch(w -> w.spec().id().equals(id))) {
       return CompletableFuture.completedFuture(Responses.notFound("worker", id));
     }
-    return switch (workerChanges.read(request.contentUtf8())) {
+    return switch (workerChanges.read(RequestBody.text(request))) {
       case DocumentOutcome.Rejected<JsonNode> rejected ->
           CompletableFuture.completedFuture(Responses.badRequest(rejected.faults()));
       case DocumentOutcome.Accepted<JsonNode> accepted ->
@@ -88,7 +88,7 @@
     if (scoped.isPresent()) {
       return CompletableFuture.completedFuture(scoped.get());
     }
-    return switch (declarations.read(request.contentUtf8())) {
+    return switch (declarations.read(RequestBody.text(request))) {
       case DocumentOutcome.Rejected<JsonNode> rejected ->
           CompletableFuture.completedFuture(Responses.badRequest(rejected.faults()));
       case DocumentOutcome.Accepted<JsonNode> accepted -> {
--- a/transport/src/main/java/org/vanillacove/transport/operator/ConfigurationResource.java
+++ b/transport/src/main/java/org/vanillacove/transport/operator/ConfigurationResource.java
@@ -59,7 +59,7 @@
     Duration wait = JobResource.deadline(deadline);
     return change(
         context,
-        changes.read(request.contentUtf8()),
+        changes.read(RequestBody.text(request)),
         body ->
             service
                 .put(
@@ -79,7 +79,7 @@
     Duration wait = JobResource.deadline(deadline);
     return change(
         context,
-        rollbacks.read(request.contentUtf8()),
+        rollbacks.read(RequestBody.text(request)),
         body ->
             service
                 .rollback(
--- a/transport/src/main/java/org/vanillacove/transport/operator/ExceptionResource.java
+++ b/transport/src/main/java/org/vanillacove/transport/operator/ExceptionResource.java
@@ -42,7 +42,7 @@
     Duration wait = JobResource.deadline(deadline);
     return ConfigurationResource.change(
         context,
-        additions.read(request.contentUtf8()),
+        additions.read(RequestBody.text(request)),
         body ->
             service
                 .addException(
--- a/transport/src/main/java/org/vanillacove/transport/operator/JobResource.java
+++ b/transport/src/main/java/org/vanillacove/transport/operator/JobResource.java
@@ -91,7 +91,7 @@
       throw new BadParameterException("id", "must match " + JOB_ID + ": " + id);
     }
     Duration wait = deadline(deadline);
-    return switch (loader.load(request.contentUtf8())) {
+    return switch (loader.load(RequestBody.text(request))) {
       case DocumentOutcome.Rejected<JobSpec> rejected ->
           CompletableFuture.completedFuture(Responses.badRequest(rejected.faults()));
       case DocumentOutcome.Accepted<JobSpec> accepted ->
@@ -109,7 +109,7 @@
     if (visible(context, id).isEmpty()) {
       return CompletableFuture.completedFuture(Responses.notFound("job", id));
     }
-    return switch (cancellations.read(request.contentUtf8())) {
+    return switch (cancellations.read(RequestBody.text(request))) {
       case DocumentOutcome.Rejected<JsonNode> rejected ->
           CompletableFuture.completedFuture(Responses.badRequest(rejected.faults()));
       case DocumentOutcome.Accepted<JsonNode> accepted ->
