--- a/bench/src/main/java/org/vanillacove/bench/recovery/RecoveryBench.java
+++ b/bench/src/main/java/org/vanillacove/bench/recovery/RecoveryBench.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.HdrHistogram.Histogram;
@@ -34,6 +35,12 @@
   /** Jobs of a day. */
   private static final int JOBS_PER_DAY = 7_900;
 
+  /** Configuration changes of a day. */
+  private static final int CONFIGURATIONS_PER_DAY = 1_400;
+
+  /** Teams with a quota. */
+  private static final int TEAMS = 40;
+
   /** Leaders killed. */
   private static final int TAKEOVERS = 100;
 
@@ -113,6 +120,7 @@
         tasks += stays ? 1 : 0;
       }
     }
+    addConfigurations(records);
     fold(records);
     long begun = System.nanoTime();
     CellState state = fold(records);
@@ -127,6 +135,33 @@
     figures.put("snapshot_bytes", bytes);
     figures.put("restored_jobs", restored.jobs().size());
     figures.put("running_tasks", tasks);
+    figures.put("restored_configurations", restored.configurations().size());
+  }
+
+  /** Adds a day's changes of the configuration, each of one team's quota. */
+  private void addConfigurations(List<ByteString> records) {
+    Random random = new Random(1);
+    int[] quotas = random.ints(TEAMS, 1_000, 1_000_000).toArray();
+    long inForce = 0;
+    for (int i = 0; i < CONFIGURATIONS_PER_DAY; i++) {
+      quotas[random.nextInt(TEAMS)] = random.nextInt(1_000, 1_000_000);
+      StringBuilder document = new StringBuilder("{\"defaults\":{\"quotas\":{");
+      for (int team = 0; team < TEAMS; team++) {
+        document.append(
+            "%s\"team-%d\":{\"cpuMillis\":%d,\"memoryMib\":%d}"
+                .formatted(team == 0 ? "" : ",", team, quotas[team], 4L * quotas[team]));
+      }
+      records.add(
+          encode(
+              new CellRecord.ConfigurationChanged(
+                  inForce,
+                  document.append("}}}").toString(),
+                  "operator-" + random.nextInt(TEAMS),
+                  "ticket "
+                      + random.nextInt(1_000_000)
+                      + ": more room until the end of the week")));
+      inForce = records.size() - 1L;
+    }
   }
 
   private void measurePeak(Map<String, Object> figures) {
--- a/coordination/src/main/java/org/vanillacove/coordination/api/CellView.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/api/CellView.java
@@ -31,6 +31,11 @@
   /** Returns the configuration versions that are still kept, oldest first. */
   List<ConfigurationVersion> configurationHistory();
 
+  /** Returns one configuration version if it is still kept. */
+  default Optional<ConfigurationVersion> configuration(long version) {
+    return configurationHistory().stream().filter(kept -> kept.version() == version).findFirst();
+  }
+
   /** Returns the configuration version in force on each member that is reachable. */
   Map<String, Long> versionsInForce();
 
--- a/coordination/src/main/java/org/vanillacove/coordination/cell/CellNode.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/cell/CellNode.java
@@ -261,6 +261,11 @@
     return view.configurationHistory();
   }
 
+  @Override
+  public Optional<ConfigurationVersion> configuration(long version) {
+    return view.configuration(version);
+  }
+
   @Override
   public Map<String, Long> versionsInForce() {
     return view.versionsInForce();
--- a/coordination/src/main/java/org/vanillacove/coordination/cell/FoldedView.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/cell/FoldedView.java
@@ -93,6 +93,11 @@
         .toList();
   }
 
+  @Override
+  public Optional<ConfigurationVersion> configuration(long version) {
+    return store.read(state -> state.configuration(version)).map(ConfigurationFeed::versionOf);
+  }
+
   @Override
   public Map<String, Long> versionsInForce() {
     return membership.versionsInForce();
--- a/coordination/src/main/java/org/vanillacove/coordination/configuration/ConfigurationInForce.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/configuration/ConfigurationInForce.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Instant;
-import java.util.Optional;
 import java.util.concurrent.locks.ReentrantLock;
 import org.vanillacove.coordination.api.CellView;
 import org.vanillacove.protocol.configuration.ConfigurationDocument;
@@ -78,11 +77,7 @@
     try {
       long newest = view.configurationVersion();
       if (newest > seenVersion) {
-        Optional<CellView.ConfigurationVersion> kept =
-            view.configurationHistory().stream()
-                .filter(version -> version.version() == newest)
-                .findFirst();
-        kept.ifPresent(this::take);
+        view.configuration(newest).ifPresent(this::take);
       }
     } finally {
       lock.unlock();
--- a/coordination/src/main/java/org/vanillacove/coordination/configuration/ConfigurationService.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/configuration/ConfigurationService.java
@@ -139,10 +139,7 @@
     if (version == 0) {
       return Optional.of(ConfigurationText.EMPTY);
     }
-    return view.configurationHistory().stream()
-        .filter(kept -> kept.version() == version)
-        .map(ConfigurationVersion::document)
-        .findFirst();
+    return view.configuration(version).map(ConfigurationVersion::document);
   }
 
   /** Returns the differences between two versions, empty if one of them is not kept. */
--- a/coordination/src/test/java/org/vanillacove/coordination/configuration/ConfigurationMonotonicTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/configuration/ConfigurationMonotonicTest.java
@@ -130,6 +130,16 @@
                                         entry.author(),
                                         entry.reason()))
                             .toList();
+                    case "configuration" ->
+                        state
+                            .configuration((long) arguments[0])
+                            .map(
+                                entry ->
+                                    new CellView.ConfigurationVersion(
+                                        entry.version(),
+                                        entry.document(),
+                                        entry.author(),
+                                        entry.reason()));
                     default -> throw new UnsupportedOperationException(method.getName());
                   });
     }
--- a/protocol/src/main/java/org/vanillacove/protocol/record/SnapshotCodec.java
+++ b/protocol/src/main/java/org/vanillacove/protocol/record/SnapshotCodec.java
@@ -26,7 +26,7 @@
 import org.vanillacove.state.api.TaskOutcome;
 import org.vanillacove.state.api.WorkerStatus;
 import org.vanillacove.state.cell.CellSnapshot;
-import org.vanillacove.state.cell.ConfigurationEntry;
+import org.vanillacove.state.cell.ConfigurationDelta;
 import org.vanillacove.state.cell.TaskState;
 import org.vanillacove.state.cell.WriterPosition;
 
@@ -98,13 +98,15 @@
     }
     snapshot.jobs().forEach(job -> builder.addJobs(toMessage(job, positions)));
     snapshot.hosts().forEach(host -> builder.addHosts(SpecCodec.toMessage(host)));
-    for (ConfigurationEntry entry : snapshot.configurations()) {
+    for (ConfigurationDelta delta : snapshot.configurations()) {
       builder.addConfigurations(
           ConfigurationMessage.newBuilder()
-              .setVersion(entry.version())
-              .setDocument(entry.document())
-              .setAuthor(entry.author())
-              .setReason(entry.reason()));
+              .setVersion(delta.version())
+              .setDocument(delta.text())
+              .setAuthor(delta.author())
+              .setReason(delta.reason())
+              .setPrefix(delta.prefix())
+              .setSuffix(delta.suffix()));
     }
     snapshot
         .writers()
@@ -163,11 +165,13 @@
         message.getConfigurationsList().stream()
             .map(
                 entry ->
-                    new ConfigurationEntry(
+                    new ConfigurationDelta(
                         entry.getVersion(),
-                        entry.getDocument(),
                         entry.getAuthor(),
-                        entry.getReason()))
+                        entry.getReason(),
+                        entry.getPrefix(),
+                        entry.getSuffix(),
+                        entry.getDocument()))
             .toList(),
         writers);
   }
--- a/state/src/main/java/org/vanillacove/state/cell/CellDigest.java
+++ b/state/src/main/java/org/vanillacove/state/cell/CellDigest.java
@@ -21,9 +21,9 @@
       put(hasher, host.id());
       put(hasher, host.zone().name());
     }
-    for (ConfigurationEntry entry : state.configurations()) {
-      hasher.putLong(entry.version());
-      put(hasher, entry.document());
+    for (ConfigurationDelta delta : state.configurationDeltas()) {
+      hasher.putLong(delta.version()).putInt(delta.prefix()).putInt(delta.suffix());
+      put(hasher, delta.text());
     }
     return hasher.hash().asLong();
   }
--- a/state/src/main/java/org/vanillacove/state/cell/CellSnapshot.java
+++ b/state/src/main/java/org/vanillacove/state/cell/CellSnapshot.java
@@ -18,7 +18,7 @@
  * @param forgottenJobs fingerprints of forgotten job identifiers, oldest first
  * @param workers workers by identifier
  * @param hosts agreed entry hosts by identifier
- * @param configurations kept configuration versions, oldest first
+ * @param configurations kept configuration versions, oldest first and the newest whole
  * @param writers newest record of each writer, oldest first
  */
 public record CellSnapshot(
@@ -30,7 +30,7 @@
     List<Long> forgottenJobs,
     List<Worker> workers,
     List<HostSpec> hosts,
-    List<ConfigurationEntry> configurations,
+    List<ConfigurationDelta> configurations,
     Map<String, WriterPosition> writers) {
 
   /**
--- a/state/src/main/java/org/vanillacove/state/cell/CellState.java
+++ b/state/src/main/java/org/vanillacove/state/cell/CellState.java
@@ -2,7 +2,6 @@
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -35,9 +34,6 @@
   /** Identifiers of forgotten jobs that are still refused. */
   public static final int MAX_FORGOTTEN_JOBS = 16_384;
 
-  /** Configuration versions that are kept. */
-  public static final int MAX_CONFIGURATIONS = 32;
-
   /** Writers whose newest proposal is remembered. */
   public static final int MAX_WRITERS = 256;
 
@@ -59,8 +55,8 @@
   /** Agreed entry hosts by identifier. */
   private final SortedMap<String, HostSpec> hosts = new TreeMap<>();
 
-  /** Kept configuration versions, oldest first. */
-  private final ArrayDeque<ConfigurationEntry> configurations = new ArrayDeque<>();
+  /** Kept configuration versions. */
+  private ConfigurationHistory configurations = new ConfigurationHistory();
 
   /** Newest record of each writer, least recently heard of first. */
   private final LinkedHashMap<String, WriterPosition> writers = new LinkedHashMap<>();
@@ -87,7 +83,7 @@
     state.settledOrder.addAll(snapshot.settledOrder());
     state.forgottenJobs.addAll(snapshot.forgottenJobs());
     snapshot.hosts().forEach(host -> state.hosts.put(host.id(), host));
-    state.configurations.addAll(snapshot.configurations());
+    state.configurations = ConfigurationHistory.restore(snapshot.configurations());
     state.writers.putAll(snapshot.writers());
     return state;
   }
@@ -118,7 +114,7 @@
         List.copyOf(forgottenJobs),
         workerList,
         List.copyOf(hosts.values()),
-        List.copyOf(configurations),
+        configurations.deltas(),
         new LinkedHashMap<>(writers));
   }
 
@@ -213,12 +209,22 @@
 
   /** Returns the configuration in force. */
   public ConfigurationEntry configuration() {
-    return configurations.isEmpty() ? ConfigurationEntry.NONE : configurations.getLast();
+    return configurations.newest();
+  }
+
+  /** Returns one of the kept configuration versions. */
+  public Optional<ConfigurationEntry> configuration(long version) {
+    return configurations.find(version);
   }
 
   /** Returns the kept configuration versions, oldest first. */
   public List<ConfigurationEntry> configurations() {
-    return List.copyOf(configurations);
+    return configurations.entries();
+  }
+
+  /** Returns the kept configuration versions as they are held, oldest first. */
+  List<ConfigurationDelta> configurationDeltas() {
+    return configurations.deltas();
   }
 
   /** Returns the newest sequence number of a writer, zero if none is known. */
@@ -408,11 +414,8 @@
     if (offset == 0) {
       return invalid("basedOn", "no host has joined yet");
     }
-    configurations.addLast(
+    configurations.add(
         new ConfigurationEntry(offset, changed.document(), changed.author(), changed.reason()));
-    if (configurations.size() > MAX_CONFIGURATIONS) {
-      configurations.removeFirst();
-    }
     return applied();
   }
 
