Base config put on the version in force that it has read

A file without a version was taken as based on version 0, so every such put after the first change ended in a conflict. The command now reads the version in force, as rollback does, names it on standard error and bases the change on it; a change in between still ends in a conflict.

--- a/cli/src/main/java/org/vanillacove/cli/ConfigurationCommands.java
+++ b/cli/src/main/java/org/vanillacove/cli/ConfigurationCommands.java
@@ -49,7 +49,8 @@
     @Option(
         name = "--based-on",
         metaVar = "VERSION",
-        usage = "version that the document was made from, if the file does not name it")
+        usage =
+            "version that the document was made from, else that of the file or the one in force")
     private Long basedOn;
 
     /** Why. */
@@ -71,7 +72,20 @@
           instanceof DocumentOutcome.Rejected<ConfigurationDocument> rejected) {
         return context.failFaults(file, rejected);
       }
-      long base = basedOn != null ? basedOn : versioned.version().orElse(0L);
+      return withBase(
+          context,
+          basedOn != null ? basedOn : versioned.version().orElse(null),
+          base -> put(context, base, versioned));
+    }
+
+    private int put(CommandContext context, long base, VersionedFile versioned) {
+      if (basedOn == null && versioned.version().isEmpty()) {
+        context.note(
+            file
+                + " names no version, so the change is based on version "
+                + base
+                + ", in force now");
+      }
       String body =
           CommandContext.body(
               Map.of("basedOn", base, "document", parse(versioned.document()), "reason", reason));
