Lend free slots to every class and judge slowness against the other backend servers

Causes of the requests that a graceful end answered with 503 ("no slot before the deadline"), found from the reasons in the answers and a trace of the slots: - A service time was compared with the mean of its class alone. One short request set the mean; the long ones after it made every backend server look slow, and observations of slow ones did not move the mean. From then on no slot seemed worth taking until the deadline. Middle and heavy requests waited 0.3 s and 1.5 s beside free slots of their region.

Change: slowness counts relative to the median of the backend servers that answered; a slot is also taken once a request waited as long as the slower answer costs; the time waited is never negative.

Ruled out: timers stopped too early, the queue limit, shedding by deadline, outlier detection by failures.

--- a/coordination/src/main/java/org/vanillacove/coordination/routing/BackendHealth.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/BackendHealth.java
@@ -18,7 +18,7 @@
   private static final double HALF_LIFE_MILLIS = 60_000;
 
   /** Slowness above which a backend server counts as slow. */
-  private static final double SLOW = 2;
+  static final double SLOW = 2;
 
   /** Slots allowed to a backend server of good health. */
   private static final int UNLIMITED = Integer.MAX_VALUE / 2;
@@ -27,7 +27,7 @@
   private double slowness = 1;
 
   /** Monotonic time of the newest observation, in milliseconds. */
-  private long observedMillis;
+  private long observedMillis = Long.MIN_VALUE;
 
   /** Failures since the newest success. */
   private int failuresInRow;
@@ -82,12 +82,21 @@
     return 1 + (slowness - 1) * Math.pow(0.5, age / HALF_LIFE_MILLIS);
   }
 
-  /** Returns whether one more request may be sent. */
-  synchronized boolean allows(long nowMillis) {
+  /** Returns whether its speed was observed. */
+  synchronized boolean isObserved() {
+    return observedMillis != Long.MIN_VALUE;
+  }
+
+  /**
+   * Returns whether one more request may be sent.
+   *
+   * @param compared slowness compared with the other backend servers
+   */
+  synchronized boolean allows(long nowMillis, double compared) {
     if (nowMillis < ejectedUntilMillis) {
       return false;
     }
-    int most = slowness > SLOW ? Math.min(1, allowed) : allowed;
+    int most = compared > SLOW ? Math.min(1, allowed) : allowed;
     return inFlight < most;
   }
 
--- a/coordination/src/main/java/org/vanillacove/coordination/routing/BackendSelector.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/BackendSelector.java
@@ -19,6 +19,9 @@
   /** Largest share of backend servers that may be left out, in percent. */
   private static final int MAX_EJECTED_PERCENT = 50;
 
+  /** Time for which the slowness of the median backend server is kept, in milliseconds. */
+  private static final long MEDIAN_KEPT_MILLIS = 20;
+
   /** Backend servers. */
   private final BackendDirectory directory;
 
@@ -31,22 +34,47 @@
   /** Health by backend server. */
   private final Map<String, BackendHealth> health = new ConcurrentHashMap<>();
 
+  /** Slowness of the median backend server at its newest look. */
+  private volatile Median median = new Median(1, Long.MIN_VALUE);
+
   BackendSelector(BackendDirectory directory, AvailabilityZone zone, ServiceTimes times) {
     this.directory = directory;
     this.zone = zone;
     this.times = times;
   }
 
+  /**
+   * Slowness of the median backend server.
+   *
+   * @param slowness service time relative to the mean of the class
+   * @param untilMillis monotonic time until which it is kept
+   */
+  private record Median(double slowness, long untilMillis) {}
+
   BackendHealth health(String backendId) {
     return health.computeIfAbsent(backendId, id -> new BackendHealth());
   }
 
+  /**
+   * Returns how slow a backend server is compared with the median of those that answered. All of
+   * them being slower than expected says that the expectation is wrong, not that they are slow.
+   */
+  double slowness(String backendId, long nowMillis) {
+    return health(backendId).slowness(nowMillis) / median(nowMillis);
+  }
+
+  /** Returns whether one more request may be sent to a backend server. */
+  boolean allows(String backendId, long nowMillis) {
+    return health(backendId).allows(nowMillis, slowness(backendId, nowMillis));
+  }
+
   /**
    * Returns the backend server with the least expected time among those with a free slot, if
    * waiting for a better one would not be quicker.
    *
    * @param free number of slots that can be taken, by backend server
-   * @param waitMillis expected wait until a slot of a usual backend server is free
+   * @param waitMillis expected wait until a slot of a usual backend server is free, or the time
+   *     waited so far if that is longer
    */
   Optional<ListedHost> select(
       RoutedRequest request, ToIntFunction<String> free, double waitMillis, long nowMillis) {
@@ -56,11 +84,11 @@
     double bestCost = Double.MAX_VALUE;
     for (ListedHost backend : directory.listed()) {
       int slots = backend.leaving() ? 0 : free.applyAsInt(backend.id());
-      BackendHealth seen = health(backend.id());
-      if (slots <= 0 || !(ignoreHealth || seen.allows(nowMillis))) {
+      if (slots <= 0 || !(ignoreHealth || allows(backend.id(), nowMillis))) {
         continue;
       }
-      double cost = usual * seen.slowness(nowMillis) + distanceMillis(backend) - 0.05 * slots;
+      double cost =
+          usual * slowness(backend.id(), nowMillis) + distanceMillis(backend) - 0.05 * slots;
       cost += request.avoided().contains(backend.id()) ? 10 * usual : 0;
       if (cost < bestCost) {
         bestCost = cost;
@@ -77,9 +105,8 @@
     if (backend.isEmpty() || backend.get().leaving() || unwanted.contains(backendId)) {
       return false;
     }
-    BackendHealth seen = health(backendId);
-    return seen.allows(nowMillis)
-        && times.mixMean() * (seen.slowness(nowMillis) - 1) <= times.mixMean() + waitedMillis;
+    double extra = times.mixMean() * (slowness(backendId, nowMillis) - 1);
+    return allows(backendId, nowMillis) && extra <= times.mixMean() + waitedMillis;
   }
 
   /** Returns how many backend servers of a region can serve, at least one. */
@@ -94,11 +121,27 @@
 
   private boolean isWorthwhile(
       RoutedRequest request, ListedHost backend, double waitMillis, long nowMillis) {
-    double extra =
-        times.mean(request.requestClass()) * (health(backend.id()).slowness(nowMillis) - 1);
+    double extra = times.mean(request.requestClass()) * (slowness(backend.id(), nowMillis) - 1);
     return extra <= waitMillis + times.mean(request.requestClass());
   }
 
+  private double median(long nowMillis) {
+    Median kept = median;
+    if (nowMillis < kept.untilMillis()) {
+      return kept.slowness();
+    }
+    double[] seen =
+        directory.listed().stream()
+            .map(backend -> health(backend.id()))
+            .filter(BackendHealth::isObserved)
+            .mapToDouble(each -> each.slowness(nowMillis))
+            .sorted()
+            .toArray();
+    double fresh = seen.length == 0 ? 1 : seen[(seen.length - 1) / 2];
+    median = new Median(fresh, nowMillis + MEDIAN_KEPT_MILLIS);
+    return fresh;
+  }
+
   private double distanceMillis(ListedHost backend) {
     if (!backend.zone().region().equals(zone.region())) {
       return REGION_MILLIS;
--- a/coordination/src/main/java/org/vanillacove/coordination/routing/RequestRouter.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/RequestRouter.java
@@ -159,7 +159,7 @@
       case RequestOutcome.Answered answered -> {
         boolean success = answered.status() < 500;
         health.onEnd(success, success ? relative : 0, now);
-        if (success && health.slowness(now) < 2) {
+        if (success && selector.slowness(hold.backendId(), now) < BackendHealth.SLOW) {
           times.observe(request.requestClass(), (double) serviceMillis);
         }
       }
@@ -290,9 +290,10 @@
     long now = timer.monotonicMillis();
     double wait = queue.size() == 1 ? 0 : expectedWaitMillis(queue.size(), now);
     for (WaitQueue.Waiting waiting : queue.heads()) {
+      double bearable = Math.max(wait, (double) (now - waiting.enqueuedMillis()));
       Optional<SlotHold> hold =
           selector
-              .select(waiting.request(), ledger::available, wait, now)
+              .select(waiting.request(), ledger::available, bearable, now)
               .flatMap(backend -> ledger.take(backend.id()));
       if (hold.isPresent() && grant(waiting, hold.get(), now)) {
         return true;
@@ -367,7 +368,7 @@
   private List<SlotLoan> lendTo(SlotWants.Want want) {
     long now = timer.monotonicMillis();
     Set<String> unwanted = new HashSet<>(want.message().getUnwantedList());
-    double waited = (double) (now - want.urgencyMillis());
+    double waited = (double) Math.max(0, now - want.urgencyMillis());
     List<SlotLoan> loans = new ArrayList<>();
     for (ListedHost backend : directory.listed()) {
       if (loans.size() < want.message().getCount()
