Let the bench route finish and make a routing decision cheaper

Cause of the endless run: not the direct calls but the routed warm-up. The bench gave its host 50 ms of standing, which a pause on a loaded machine exceeds; it lost its slots (98 takeovers within 20 s), and service times of pauses made all backend servers look slow, so that requests waited for their deadline. Change: usual standing times, and the bench waits for all tokens; it calls over as many connections directly as through the host (one connection kept all of the host on one event loop); time added is measured at 5,000 requests/s, as the median of five rounds, since at full load it only repeats the number of requests in flight. A decision looks at the health of all backend servers once in 20 ms, passes over shards without loans, and gives back idle loans only after a borrow.

The bench wait also plays one perfect queue for each region: what can be reached without crossing regions.

--- a/bench/src/main/java/org/vanillacove/bench/route/RouteBench.java
+++ b/bench/src/main/java/org/vanillacove/bench/route/RouteBench.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.HdrHistogram.ConcurrentHistogram;
 import org.HdrHistogram.Histogram;
+import org.apache.commons.math3.stat.descriptive.rank.Median;
 import org.vanillacove.bench.Bench;
 import org.vanillacove.bench.waiting.SettledMembership;
 import org.vanillacove.coordination.routing.Admission;
@@ -32,6 +33,7 @@
 import org.vanillacove.coordination.routing.RoutedRequest;
 import org.vanillacove.coordination.routing.SlotTiming;
 import org.vanillacove.protocol.platform.ListedHost;
+import org.vanillacove.protocol.timer.TimerService;
 import org.vanillacove.standin.backend.BackendServer;
 import org.vanillacove.standin.memory.ManualTimerService;
 import org.vanillacove.standin.memory.MemoryPeerNetwork;
@@ -48,7 +50,19 @@
   private static final int DECISIONS = 50_000;
 
   /** Decisions before timing starts. */
-  private static final int DECISION_WARM_UP = 20_000;
+  private static final int DECISION_WARM_UP = 50_000;
+
+  /** Requests sent each millisecond when the added time is measured: the target's rate. */
+  private static final int PACED_PER_MILLI = 5;
+
+  /** Requests of a round sent at that rate. */
+  private static final int PACED_REQUESTS = 5_000;
+
+  /** Rounds at that rate. */
+  private static final int PACED_ROUNDS = 5;
+
+  /** Decisions in each millisecond of the router's time, as at the target's rate. */
+  private static final int DECISIONS_PER_MILLI = 5;
 
   /** Backend servers in the timing of decisions. */
   private static final int LISTED_BACKENDS = 30;
@@ -63,7 +77,10 @@
   private static final int REQUESTS = 15_000;
 
   /** Requests of a round that only warms up. */
-  private static final int WARM_UP = 10_000;
+  private static final int WARM_UP = 30_000;
+
+  /** Deadline that no timed decision meets, in milliseconds. */
+  private static final long FAR_MILLIS = 1_000_000;
 
   /** Zone of everything. */
   private static final AvailabilityZone ZONE = new AvailabilityZone("attica", "attica-a");
@@ -71,18 +88,21 @@
   /** The only entry host. */
   private static final HostSpec HOST = new HostSpec("e1", "127.0.0.1:1", ZONE);
 
-  /** Times that let the host take its tokens soon. */
-  private static final SlotTiming TIMING = new SlotTiming(50, 50);
+  /** Longest wait until the host holds all tokens. */
+  private static final Duration SETTLE = Duration.ofSeconds(20);
+
+  /** Pause between looks at the tokens. */
+  private static final Duration SETTLE_LOOK = Duration.ofMillis(50);
 
   @Override
   public Map<String, Object> run(long seed) throws Exception {
     Map<String, Object> figures = new LinkedHashMap<>();
-    figures.put("decision_us_p99", decisionMicros());
+    figures.putAll(decisions());
     figures.putAll(throughSockets());
     return figures;
   }
 
-  private static double decisionMicros() {
+  private static Map<String, Object> decisions() {
     ManualTimerService timer = new ManualTimerService(0);
     List<ListedHost> listed = new ArrayList<>();
     for (int i = 0; i < LISTED_BACKENDS; i++) {
@@ -96,13 +116,14 @@
             () -> RoutingSettings.DEFAULTS,
             () -> listed,
             backend -> CompletableFuture.completedFuture(OptionalInt.of(0)),
-            TIMING,
+            SlotTiming.DEFAULTS,
             new SimpleMeterRegistry());
-    timer.advance(1_000);
+    timer.advance(SETTLE.toMillis());
     Histogram nanos = new Histogram(3);
     for (int i = 0; i < DECISION_WARM_UP + DECISIONS; i++) {
+      timer.advance(i % DECISIONS_PER_MILLI == 0 ? 1 : 0);
       RoutedRequest request =
-          new RoutedRequest("r" + i, "g" + i % 7, RequestClass.QUICK, true, 1_000_000, Set.of());
+          new RoutedRequest("r" + i, "g" + i % 7, RequestClass.QUICK, true, FAR_MILLIS, Set.of());
       long start = System.nanoTime();
       CompletableFuture<Admission> admission = router.admit(request);
       long spent = System.nanoTime() - start;
@@ -112,14 +133,16 @@
       Admission.Granted granted = (Admission.Granted) admission.join();
       router.finish(granted.hold(), request, new RequestOutcome.Answered(200), 10);
     }
-    return nanos.getValueAtPercentile(99) / 1_000.0;
+    return Map.of(
+        "decision_us_p50", nanos.getValueAtPercentile(50) / 1_000.0,
+        "decision_us_p99", nanos.getValueAtPercentile(99) / 1_000.0);
   }
 
   private static Map<String, Object> throughSockets() throws InterruptedException {
     SteadyTimerService timer = new SteadyTimerService();
     List<BackendServer> backends = new ArrayList<>();
     for (int i = 0; i < BACKENDS; i++) {
-      backends.add(new BackendServer("b" + i, ZONE, RoutingSettings.DEFAULTS.slotsPerBackend()));
+      backends.add(new BackendServer("b" + i, ZONE, PACED_REQUESTS));
     }
     BackendClient client = new BackendClient(GuestLimits.DEFAULTS, SessionProtocol.HTTP);
     MemoryPeerNetwork network = new MemoryPeerNetwork(timer, (from, to) -> 0);
@@ -132,7 +155,7 @@
             () -> RoutingSettings.DEFAULTS,
             () -> backends.stream().map(BackendServer::listed).toList(),
             client,
-            TIMING,
+            SlotTiming.DEFAULTS,
             new SimpleMeterRegistry());
     GuestServer guests =
         new GuestServer(
@@ -147,33 +170,72 @@
     guests.configure(builder);
     Server server = builder.build();
     server.start().join();
-    timer.sleep(Duration.ofSeconds(1));
+    settle(timer, router, backends);
     List<WebClient> direct =
-        backends.stream().map(each -> caller(each.listed().address())).toList();
-    List<WebClient> routed = List.of(caller("127.0.0.1:" + server.activeLocalPort()));
+        backends.stream().map(each -> caller(each.listed().address(), 1)).toList();
+    List<WebClient> routed =
+        List.of(caller("127.0.0.1:" + server.activeLocalPort(), backends.size()));
     load(direct, WARM_UP);
     load(routed, WARM_UP);
     Load before = load(direct, REQUESTS);
     Load through = load(routed, REQUESTS);
+    Map<String, Object> figures = figures(before, through);
+    figures.putAll(pacedFigures(timer, direct, routed));
     router.close();
     timer.close();
-    return figures(before, through);
+    return figures;
+  }
+
+  /** Measures the added time at the target's rate, in the median of some rounds. */
+  private static Map<String, Object> pacedFigures(
+      SteadyTimerService timer, List<WebClient> direct, List<WebClient> routed)
+      throws InterruptedException {
+    double[] addedMedian = new double[PACED_ROUNDS];
+    double[] addedTail = new double[PACED_ROUNDS];
+    double[] directTail = new double[PACED_ROUNDS];
+    int failed = 0;
+    for (int round = 0; round < PACED_ROUNDS; round++) {
+      Load before = pacedLoad(timer, direct);
+      Load through = pacedLoad(timer, routed);
+      addedMedian[round] = through.millisAt(50) - before.millisAt(50);
+      addedTail[round] = through.millisAt(99) - before.millisAt(99);
+      directTail[round] = before.millisAt(99);
+      failed += through.failed() + before.failed();
+    }
+    Median median = new Median();
+    return Map.of(
+        "added_p50_ms", median.evaluate(addedMedian),
+        "added_p99_ms", median.evaluate(addedTail),
+        "direct_p99_ms", median.evaluate(directTail),
+        "paced_failed", failed);
+  }
+
+  private static void settle(
+      SteadyTimerService timer, RequestRouter router, List<BackendServer> backends)
+      throws InterruptedException {
+    long end = timer.monotonicMillis() + SETTLE.toMillis();
+    while (!backends.stream().allMatch(each -> router.ledger().holdsToken(each.listed().id()))) {
+      if (timer.monotonicMillis() > end) {
+        throw new IllegalStateException("the host did not get its slots");
+      }
+      timer.sleep(SETTLE_LOOK);
+    }
   }
 
   private static Map<String, Object> figures(Load direct, Load routed) {
     Map<String, Object> figures = new LinkedHashMap<>();
     figures.put("requests_per_s", Math.round(routed.perSecond()));
     figures.put("direct_requests_per_s", Math.round(direct.perSecond()));
-    figures.put("added_p50_ms", routed.millisAt(50) - direct.millisAt(50));
-    figures.put("added_p99_ms", routed.millisAt(99) - direct.millisAt(99));
-    figures.put("direct_p99_ms", direct.millisAt(99));
+    figures.put("full_load_p99_ms", routed.millisAt(99));
     figures.put("cpu_us_per_request", routed.cpuMicros() - direct.cpuMicros());
     figures.put("failed", routed.failed() + direct.failed());
     return figures;
   }
 
-  private static WebClient caller(String address) {
-    return WebClient.builder("http://" + address).factory(ClientFactory.ofDefault()).build();
+  private static WebClient caller(String address, int connections) {
+    ClientFactory factory =
+        ClientFactory.builder().maxNumEventLoopsPerEndpoint(connections).build();
+    return WebClient.builder("http://" + address).factory(factory).build();
   }
 
   private static Load load(List<WebClient> callers, int requests) throws InterruptedException {
@@ -192,6 +254,34 @@
     return new Load(micros, requests / seconds, cpuMicros, failed.get());
   }
 
+  /** Sends requests at the target's rate, whether or not earlier ones were answered. */
+  private static Load pacedLoad(SteadyTimerService timer, List<WebClient> callers)
+      throws InterruptedException {
+    ConcurrentHistogram micros = new ConcurrentHistogram(3);
+    AtomicInteger sent = new AtomicInteger();
+    AtomicInteger failed = new AtomicInteger();
+    CountDownLatch done = new CountDownLatch(PACED_REQUESTS);
+    long cpu = cpuNanos();
+    long start = System.nanoTime();
+    TimerService.Subscription pace =
+        timer.every(
+            Duration.ofMillis(1),
+            () -> {
+              for (int i = 0; i < PACED_PER_MILLI; i++) {
+                int number = sent.getAndIncrement();
+                if (number < PACED_REQUESTS) {
+                  WebClient caller = callers.get(number % callers.size());
+                  send(caller, micros, failed).whenComplete((end, error) -> done.countDown());
+                }
+              }
+            });
+    done.await();
+    pace.cancel();
+    double seconds = (System.nanoTime() - start) / 1e9;
+    double cpuMicros = (cpuNanos() - cpu) / 1e3 / PACED_REQUESTS;
+    return new Load(micros, PACED_REQUESTS / seconds, cpuMicros, failed.get());
+  }
+
   private static void next(
       WebClient caller,
       AtomicInteger left,
@@ -202,16 +292,22 @@
       done.countDown();
       return;
     }
+    send(caller, micros, failed)
+        .whenComplete((end, error) -> next(caller, left, micros, failed, done));
+  }
+
+  private static CompletableFuture<Boolean> send(
+      WebClient caller, Histogram micros, AtomicInteger failed) {
     long start = System.nanoTime();
-    caller
+    return caller
         .get("/work?bytes=512")
         .aggregate()
-        .whenComplete(
+        .handle(
             (answer, error) -> {
               micros.recordValue((System.nanoTime() - start) / 1_000);
               boolean good = error == null && answer.status().code() == 200;
               failed.addAndGet(good ? 0 : 1);
-              next(caller, left, micros, failed, done);
+              return good;
             });
   }
 
--- a/bench/src/main/java/org/vanillacove/bench/waiting/WaitBench.java
+++ b/bench/src/main/java/org/vanillacove/bench/waiting/WaitBench.java
@@ -61,7 +61,8 @@
     all.put("round_robin", play(arrivals, choosing(seed, "round_robin")));
     all.put("least_loaded", play(arrivals, choosing(seed, "least_loaded")));
     all.put("ours", play(arrivals, WaitBench::ours));
-    all.put("bound", play(arrivals, CentralPolicy::new));
+    all.put("bound", play(arrivals, central(false)));
+    all.put("regional_bound", play(arrivals, central(true)));
     String prefix = mix.name() + "_" + load + "_";
     all.forEach(
         (name, results) -> {
@@ -80,6 +81,8 @@
       double robin = all.get("round_robin").p99Wait();
       worst(targets, "wait_p99_vs_round_robin", rounded(ours.p99Wait() / robin));
       worst(targets, "wait_p99_vs_bound", rounded(ours.p99Wait() / all.get("bound").p99Wait()));
+      double regional = all.get("regional_bound").p99Wait();
+      worst(targets, "wait_p99_vs_regional_bound", rounded(ours.p99Wait() / regional));
       worst(targets, "quick_p99_ms", ours.quickP99());
       worst(targets, "cross_region_share", rounded(ours.crossedShare()));
       worst(targets, "refused_share", rounded(ours.refusedShare()));
@@ -116,6 +119,10 @@
     return new RouterPolicy(timer, fleet, HOSTS, results);
   }
 
+  private static PolicyFactory central(boolean byRegion) {
+    return (timer, fleet, results) -> new CentralPolicy(timer, fleet, byRegion, results);
+  }
+
   private static PolicyFactory choosing(long seed, String name) {
     return (timer, fleet, results) -> {
       Random random = new Random(seed);
--- a/bench/src/main/java/org/vanillacove/bench/waiting/Ways.java
+++ b/bench/src/main/java/org/vanillacove/bench/waiting/Ways.java
@@ -12,7 +12,11 @@
 
   /** Returns the delay between an entry host and a backend server or another entry host. */
   static long oneWayMillis(int one, int other) {
-    boolean near = one % Fleet.REGIONS == other % Fleet.REGIONS;
-    return near ? NEAR_MILLIS : Fleet.REGION_MILLIS;
+    return isNear(one, other) ? NEAR_MILLIS : Fleet.REGION_MILLIS;
+  }
+
+  /** Returns whether an entry host and a backend server or another entry host share a region. */
+  static boolean isNear(int one, int other) {
+    return one % Fleet.REGIONS == other % Fleet.REGIONS;
   }
 }
--- a/coordination/src/main/java/org/vanillacove/coordination/routing/BackendSelector.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/BackendSelector.java
@@ -1,5 +1,6 @@
 package org.vanillacove.coordination.routing;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -17,10 +18,10 @@
   private static final double REGION_MILLIS = 60;
 
   /** Largest share of backend servers that may be left out, in percent. */
-  private static final int MAX_EJECTED_PERCENT = 50;
+  private static final long MAX_EJECTED_PERCENT = 50;
 
-  /** Time for which the slowness of the median backend server is kept, in milliseconds. */
-  private static final long MEDIAN_KEPT_MILLIS = 20;
+  /** Time for which a look at all backend servers is kept, in milliseconds. */
+  private static final long LOOK_KEPT_MILLIS = 20;
 
   /** Backend servers. */
   private final BackendDirectory directory;
@@ -34,8 +35,8 @@
   /** Health by backend server. */
   private final Map<String, BackendHealth> health = new ConcurrentHashMap<>();
 
-  /** Slowness of the median backend server at its newest look. */
-  private volatile Median median = new Median(1, Long.MIN_VALUE);
+  /** Newest look at all backend servers. */
+  private volatile Look newest = new Look(1, false, Long.MIN_VALUE);
 
   BackendSelector(BackendDirectory directory, AvailabilityZone zone, ServiceTimes times) {
     this.directory = directory;
@@ -44,12 +45,13 @@
   }
 
   /**
-   * Slowness of the median backend server.
+   * A look at all backend servers.
    *
-   * @param slowness service time relative to the mean of the class
-   * @param untilMillis monotonic time until which it is kept
+   * @param median slowness of the median backend server, relative to the mean of the class
+   * @param tooManyEjected whether so many are left out that health is ignored
+   * @param untilMillis monotonic time until which the look is kept
    */
-  private record Median(double slowness, long untilMillis) {}
+  private record Look(double median, boolean tooManyEjected, long untilMillis) {}
 
   BackendHealth health(String backendId) {
     return health.computeIfAbsent(backendId, id -> new BackendHealth());
@@ -60,7 +62,7 @@
    * them being slower than expected says that the expectation is wrong, not that they are slow.
    */
   double slowness(String backendId, long nowMillis) {
-    return health(backendId).slowness(nowMillis) / median(nowMillis);
+    return health(backendId).slowness(nowMillis) / look(nowMillis).median();
   }
 
   /** Returns whether one more request may be sent to a backend server. */
@@ -78,17 +80,21 @@
    */
   Optional<ListedHost> select(
       RoutedRequest request, ToIntFunction<String> free, double waitMillis, long nowMillis) {
-    boolean ignoreHealth = tooManyEjected(nowMillis);
+    Look look = look(nowMillis);
     double usual = times.mean(request.requestClass());
     ListedHost best = null;
     double bestCost = Double.MAX_VALUE;
     for (ListedHost backend : directory.listed()) {
       int slots = backend.leaving() ? 0 : free.applyAsInt(backend.id());
-      if (slots <= 0 || !(ignoreHealth || allows(backend.id(), nowMillis))) {
+      if (slots <= 0) {
         continue;
       }
-      double cost =
-          usual * slowness(backend.id(), nowMillis) + distanceMillis(backend) - 0.05 * slots;
+      BackendHealth seen = health(backend.id());
+      double slowness = seen.slowness(nowMillis) / look.median();
+      if (!look.tooManyEjected() && !seen.allows(nowMillis, slowness)) {
+        continue;
+      }
+      double cost = usual * slowness + distanceMillis(backend) - 0.05 * slots;
       cost += request.avoided().contains(backend.id()) ? 10 * usual : 0;
       if (cost < bestCost) {
         bestCost = cost;
@@ -125,20 +131,26 @@
     return extra <= waitMillis + times.mean(request.requestClass());
   }
 
-  private double median(long nowMillis) {
-    Median kept = median;
+  private Look look(long nowMillis) {
+    Look kept = newest;
     if (nowMillis < kept.untilMillis()) {
-      return kept.slowness();
+      return kept;
     }
+    List<BackendHealth> all =
+        directory.listed().stream().map(backend -> health(backend.id())).toList();
     double[] seen =
-        directory.listed().stream()
-            .map(backend -> health(backend.id()))
+        all.stream()
             .filter(BackendHealth::isObserved)
             .mapToDouble(each -> each.slowness(nowMillis))
             .sorted()
             .toArray();
-    double fresh = seen.length == 0 ? 1 : seen[(seen.length - 1) / 2];
-    median = new Median(fresh, nowMillis + MEDIAN_KEPT_MILLIS);
+    long ejected = all.stream().filter(each -> each.isEjected(nowMillis)).count();
+    Look fresh =
+        new Look(
+            seen.length == 0 ? 1 : seen[(seen.length - 1) / 2],
+            ejected * 100 > all.size() * MAX_EJECTED_PERCENT,
+            nowMillis + LOOK_KEPT_MILLIS);
+    newest = fresh;
     return fresh;
   }
 
@@ -148,14 +160,4 @@
     }
     return backend.zone().name().equals(zone.name()) ? 0 : ZONE_MILLIS;
   }
-
-  private boolean tooManyEjected(long nowMillis) {
-    int all = 0;
-    int ejected = 0;
-    for (ListedHost backend : directory.listed()) {
-      all++;
-      ejected += health(backend.id()).isEjected(nowMillis) ? 1 : 0;
-    }
-    return ejected * 100 > all * MAX_EJECTED_PERCENT;
-  }
 }
--- a/coordination/src/main/java/org/vanillacove/coordination/routing/BackendSlots.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/BackendSlots.java
@@ -95,8 +95,8 @@
 
   /** Returns how many slots a request of this host could take. */
   synchronized int available(long nowMillis, int limit) {
-    long usable = idle.stream().filter(slot -> slot.leaseUntilMillis() > nowMillis).count();
-    return (int) usable + free(nowMillis, limit);
+    int free = free(nowMillis, limit);
+    return idle.isEmpty() ? free : free + usableIdle(nowMillis);
   }
 
   /** Returns how many slots of the token are counted as used. */
@@ -250,8 +250,16 @@
   }
 
   private void expire(long nowMillis) {
-    limbo.removeIf(until -> until <= nowMillis);
-    lent.values().removeIf(loan -> loan.reclaimMillis() <= nowMillis);
+    if (!limbo.isEmpty()) {
+      limbo.removeIf(until -> until <= nowMillis);
+    }
+    if (!lent.isEmpty()) {
+      lent.values().removeIf(loan -> loan.reclaimMillis() <= nowMillis);
+    }
+  }
+
+  private int usableIdle(long nowMillis) {
+    return (int) idle.stream().filter(slot -> slot.leaseUntilMillis() > nowMillis).count();
   }
 
   private SlotLoan loanMessage(String loanId, Lent loan, long nowMillis) {
--- a/coordination/src/main/java/org/vanillacove/coordination/routing/SlotLedger.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/SlotLedger.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.vanillacove.coordination.api.Membership;
@@ -61,6 +62,9 @@
   /** Monotonic time at which this host was last seen in standing, in milliseconds. */
   private final AtomicLong standingSeenMillis = new AtomicLong();
 
+  /** Whether a slot was borrowed since unused ones were last given back. */
+  private final AtomicBoolean borrowed = new AtomicBoolean();
+
   /** What to run when a slot may have become free. */
   private volatile Runnable onFree = () -> {};
 
@@ -166,7 +170,9 @@
         usable
             && shard(loan.getBackendId())
                 .addBorrowed(slot, now(), view(), () -> loans.add(loanId, held));
-    if (!taken) {
+    if (taken) {
+      borrowed.set(true);
+    } else {
       sendReturn(lender, loanId);
     }
     return taken;
@@ -174,6 +180,9 @@
 
   /** Gives back the borrowed slots that no request uses. */
   void returnIdle() {
+    if (!borrowed.getAndSet(false)) {
+      return;
+    }
     for (BackendSlots shard : shards.values()) {
       for (BackendSlots.Borrowed slot : shard.drainIdle()) {
         endBorrowed(slot.loanId());
