Spread the tokens of a region's backend servers evenly over its hosts

Cause: rendezvous hashing alone gave the three hosts of a region 5, 4 and 1 of ten tokens; the last one borrowed most of its slots and held most of the longest waits. Change: a host takes no more than an even share of the region's tokens, rounded up.

SlotLedgerTest with its property over interleavings passes.

--- a/coordination/src/main/java/org/vanillacove/coordination/routing/OwnerRing.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/OwnerRing.java
@@ -2,8 +2,11 @@
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.vanillacove.state.api.HostSpec;
 
 /** Rendezvous hashing of keys over hosts. */
@@ -20,11 +23,32 @@
         .toList();
   }
 
-  /** Returns the hosts for a backend server: those of its region if there are any. */
-  static List<HostSpec> order(String key, String region, List<HostSpec> hosts) {
+  /** Returns the hosts of a region, or all if it has none. */
+  static List<HostSpec> near(String region, List<HostSpec> hosts) {
     List<HostSpec> near =
         hosts.stream().filter(host -> host.zone().region().equals(region)).toList();
-    return order(key, near.isEmpty() ? hosts : near);
+    return near.isEmpty() ? hosts : near;
+  }
+
+  /**
+   * Returns a host for each key: the first in its order of preference that has less than an even
+   * share of the keys, rounded up.
+   */
+  static Map<String, String> spread(Collection<String> keys, List<HostSpec> hosts) {
+    Map<String, String> chosen = new HashMap<>();
+    Map<String, Integer> counts = new HashMap<>();
+    for (String key : keys.stream().sorted().toList()) {
+      order(key, hosts).stream()
+          .map(HostSpec::id)
+          .filter(id -> counts.getOrDefault(id, 0) * hosts.size() < keys.size())
+          .findFirst()
+          .ifPresent(
+              id -> {
+                counts.merge(id, 1, Integer::sum);
+                chosen.put(key, id);
+              });
+    }
+    return chosen;
   }
 
   private static long weight(String key, String hostId) {
--- a/coordination/src/main/java/org/vanillacove/coordination/routing/SlotTokens.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/SlotTokens.java
@@ -63,6 +63,9 @@
   /** Backend servers. */
   private final BackendDirectory directory;
 
+  /** Says which host should hold which token. */
+  private final BackendOwners owners;
+
   /** Asks backend servers how many requests they run. */
   private final BackendOccupancy occupancy;
 
@@ -89,6 +92,7 @@
     this.timing = timing;
     this.ledger = ledger;
     this.directory = directory;
+    this.owners = new BackendOwners(directory);
     this.occupancy = occupancy;
     link.register(PeerChannel.SLOT, this::handle);
   }
@@ -130,13 +134,13 @@
    */
   CompletableFuture<Boolean> handOver() {
     ledger.drain();
+    List<HostSpec> left =
+        membership.agreedHosts().stream()
+            .filter(host -> !host.id().equals(self()) && membership.isReachable(host.id()))
+            .toList();
     List<CompletableFuture<Boolean>> sent = new ArrayList<>();
     for (String backendId : ledger.heldTokens()) {
-      Optional<String> next =
-          order(backendId).stream()
-              .map(HostSpec::id)
-              .filter(id -> !id.equals(self()) && membership.isReachable(id))
-              .findFirst();
+      Optional<String> next = owners.owner(backendId, left).or(() -> anyOf(left));
       Optional<SlotTransfer> transfer =
           next.flatMap(receiver -> ledger.passOn(backendId, receiver, 0));
       transfer.ifPresent(message -> sent.add(send(next.get(), message, HAND_OVER_TRIES)));
@@ -347,7 +351,7 @@
     if (directory.find(backendId).isEmpty()) {
       return true;
     }
-    return order(backendId).stream().findFirst().map(HostSpec::id).equals(Optional.of(host));
+    return owners.owner(backendId, membership.agreedHosts()).equals(Optional.of(host));
   }
 
   private boolean isWithMember(BackendSlots.PassedOn passed) {
@@ -359,12 +363,11 @@
   }
 
   private boolean isMine(String backendId) {
-    return order(backendId).stream().findFirst().map(HostSpec::id).equals(Optional.of(self()));
+    return owners.owner(backendId, membership.agreedHosts()).equals(Optional.of(self()));
   }
 
-  private List<HostSpec> order(String backendId) {
-    String region = directory.find(backendId).map(host -> host.zone().region()).orElse("");
-    return OwnerRing.order(backendId, region, membership.agreedHosts());
+  private static Optional<String> anyOf(List<HostSpec> hosts) {
+    return hosts.stream().findFirst().map(HostSpec::id);
   }
 
   private String self() {
