Let long requests cross regions at once and short ones only after a wait

A heavy request asked other regions only 150 ms after its slack of 1.5 s had passed, and a slot from there went to whichever request was first, mostly a quick one. Change: a class whose mean service is ten times the way asks other regions at once, others after crossRegionPenaltyMillis of their own wait, and only these use such a slot.

--- a/coordination/src/main/java/org/vanillacove/coordination/routing/BackendSelector.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/BackendSelector.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
 import java.util.function.ToIntFunction;
 import org.vanillacove.protocol.platform.ListedHost;
 import org.vanillacove.state.api.AvailabilityZone;
@@ -17,6 +18,9 @@
   /** Round trip to another region, in milliseconds. */
   private static final double REGION_MILLIS = 60;
 
+  /** Share of the mean service time that the way to another region may add without a wait. */
+  private static final double CROSSING_SHARE = 0.1;
+
   /** Largest share of backend servers that may be left out, in percent. */
   private static final long MAX_EJECTED_PERCENT = 50;
 
@@ -32,16 +36,24 @@
   /** Service times of the classes. */
   private final ServiceTimes times;
 
+  /** Wait in milliseconds after which any request may cross regions. */
+  private final LongSupplier crossAfterMillis;
+
   /** Health by backend server. */
   private final Map<String, BackendHealth> health = new ConcurrentHashMap<>();
 
   /** Newest look at all backend servers. */
   private volatile Look newest = new Look(1, false, Long.MIN_VALUE);
 
-  BackendSelector(BackendDirectory directory, AvailabilityZone zone, ServiceTimes times) {
+  BackendSelector(
+      BackendDirectory directory,
+      AvailabilityZone zone,
+      ServiceTimes times,
+      LongSupplier crossAfterMillis) {
     this.directory = directory;
     this.zone = zone;
     this.times = times;
+    this.crossAfterMillis = crossAfterMillis;
   }
 
   /**
@@ -105,6 +117,15 @@
     return worth ? Optional.of(best) : Optional.empty();
   }
 
+  /**
+   * Returns whether a request may run in another region: at once if the way there is short beside
+   * its service, else after a wait.
+   */
+  boolean mayCross(RoutedRequest request, double waitMillis) {
+    return REGION_MILLIS <= CROSSING_SHARE * times.mean(request.requestClass())
+        || waitMillis >= crossAfterMillis.getAsLong();
+  }
+
   /** Returns whether a slot of a backend server is worth lending for a request that waited. */
   boolean isLendable(String backendId, Set<String> unwanted, double waitedMillis, long nowMillis) {
     Optional<ListedHost> backend = directory.find(backendId);
@@ -128,7 +149,8 @@
   private boolean isWorthwhile(
       RoutedRequest request, ListedHost backend, double waitMillis, long nowMillis) {
     double extra = times.mean(request.requestClass()) * (slowness(backend.id(), nowMillis) - 1);
-    return extra <= waitMillis + times.mean(request.requestClass());
+    return extra <= waitMillis + times.mean(request.requestClass())
+        && (isNear(backend) || mayCross(request, waitMillis));
   }
 
   private Look look(long nowMillis) {
@@ -154,8 +176,12 @@
     return fresh;
   }
 
+  private boolean isNear(ListedHost backend) {
+    return backend.zone().region().equals(zone.region());
+  }
+
   private double distanceMillis(ListedHost backend) {
-    if (!backend.zone().region().equals(zone.region())) {
+    if (!isNear(backend)) {
       return REGION_MILLIS;
     }
     return backend.zone().name().equals(zone.name()) ? 0 : ZONE_MILLIS;
--- a/coordination/src/main/java/org/vanillacove/coordination/routing/RequestRouter.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/RequestRouter.java
@@ -108,8 +108,13 @@
     long incarnation = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
     this.ledger = new SlotLedger(membership, link, timer, settings, timing, incarnation);
     this.tokens = new SlotTokens(membership, link, timer, timing, ledger, directory, occupancy);
-    this.borrower = new SlotBorrower(membership, link, timer, settings, ledger);
-    this.selector = new BackendSelector(directory, membership.self().zone(), times);
+    this.borrower = new SlotBorrower(membership, link, timer, ledger);
+    this.selector =
+        new BackendSelector(
+            directory,
+            membership.self().zone(),
+            times,
+            () -> settings.get().crossRegionPenaltyMillis());
     this.budget = new RetryBudget(() -> settings.get().retryBudgetPercent());
     this.waitSummary =
         DistributionSummary.builder("routing.wait.millis")
@@ -279,7 +284,13 @@
     if (heads.isEmpty()) {
       borrower.cancel();
     } else {
-      borrower.ask(queue.size(), heads.getFirst().urgencyMillis());
+      long now = timer.monotonicMillis();
+      boolean far =
+          heads.stream()
+              .anyMatch(
+                  head ->
+                      selector.mayCross(head.request(), (double) (now - head.enqueuedMillis())));
+      borrower.ask(queue.size(), heads.getFirst().urgencyMillis(), far);
     }
   }
 
--- a/coordination/src/main/java/org/vanillacove/coordination/routing/SlotBorrower.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/SlotBorrower.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.function.Supplier;
 import org.vanillacove.coordination.api.Membership;
 import org.vanillacove.protocol.generated.SlotBorrow;
 import org.vanillacove.protocol.generated.SlotBorrowCancel;
@@ -17,7 +16,6 @@
 import org.vanillacove.protocol.peer.PeerLink;
 import org.vanillacove.protocol.timer.TimerService;
 import org.vanillacove.state.api.HostSpec;
-import org.vanillacove.state.api.RoutingSettings;
 
 /** Borrows slots from peers while requests wait; thread-safe. */
 final class SlotBorrower {
@@ -42,25 +40,16 @@
   /** Source of time. */
   private final TimerService timer;
 
-  /** Policy values in force. */
-  private final Supplier<RoutingSettings> settings;
-
   /** Slots. */
   private final SlotLedger ledger;
 
   /** Calls in flight by peer. */
   private final Map<String, Call> calls = new ConcurrentHashMap<>();
 
-  SlotBorrower(
-      Membership membership,
-      PeerLink link,
-      TimerService timer,
-      Supplier<RoutingSettings> settings,
-      SlotLedger ledger) {
+  SlotBorrower(Membership membership, PeerLink link, TimerService timer, SlotLedger ledger) {
     this.membership = membership;
     this.link = link;
     this.timer = timer;
-    this.settings = settings;
     this.ledger = ledger;
   }
 
@@ -73,14 +62,14 @@
   private record Call(long sequence, AtomicBoolean cancelled) {}
 
   /**
-   * Asks peers for slots: those of the region, and others once the wait saved is worth it.
+   * Asks peers for slots.
    *
    * @param waiting number of waiting requests
    * @param urgencyMillis monotonic time at which the oldest became urgent
+   * @param far whether to ask peers of other regions too
    */
-  void ask(int waiting, long urgencyMillis) {
+  void ask(int waiting, long urgencyMillis, boolean far) {
     long waited = timer.monotonicMillis() - urgencyMillis;
-    boolean far = waited >= settings.get().crossRegionPenaltyMillis();
     HostSpec self = membership.self();
     int share = Math.clamp(waiting / Math.max(1, nearPeers(self)), 1, MAX_COUNT);
     for (HostSpec host : membership.agreedHosts()) {
--- a/coordination/src/test/java/org/vanillacove/coordination/routing/RequestRouterTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/routing/RequestRouterTest.java
@@ -21,15 +21,19 @@
 import org.vanillacove.state.api.HostSpec;
 import org.vanillacove.state.api.RoutingSettings;
 
-/** Tests {@link RequestRouter} on two entry hosts that are 1 ms apart. */
+/** Tests {@link RequestRouter} on two entry hosts of a region and one of another, 1 ms apart. */
 class RequestRouterTest {
   private static final AvailabilityZone ZONE = new AvailabilityZone("attica", "attica-a");
+  private static final AvailabilityZone FAR_ZONE = new AvailabilityZone("thessaly", "thessaly-a");
   private final ManualTimerService timer = new ManualTimerService(0);
   private final MemoryPeerNetwork network = new MemoryPeerNetwork(timer, (from, to) -> 1);
   private final ListedHost backend =
       new ListedHost("b", ListedHost.Role.BACKEND, "127.0.0.1:9", ZONE, false);
   private final List<HostSpec> specs =
-      List.of(new HostSpec("e0", "127.0.0.1:1", ZONE), new HostSpec("e1", "127.0.0.1:2", ZONE));
+      List.of(
+          new HostSpec("e0", "127.0.0.1:1", ZONE),
+          new HostSpec("e1", "127.0.0.1:2", ZONE),
+          new HostSpec("e2", "127.0.0.1:3", FAR_ZONE));
   private final Map<String, RequestRouter> routers = new HashMap<>();
 
   RequestRouterTest() {
@@ -74,6 +78,24 @@
         .allSatisfy(each -> assertThat(each).isCompletedWithValueMatching(this::isGranted));
   }
 
+  @Test
+  void onlyLongWorkCrossesRegionsWithoutAWait() {
+    RequestRouter far = routers.get("e2");
+    CompletableFuture<Admission> quick = far.admit(request("quick", RequestClass.QUICK));
+    CompletableFuture<Admission> middle = far.admit(request("middle", RequestClass.MIDDLE));
+    timer.advance(100);
+    CompletableFuture<Admission> heavy = far.admit(request("heavy", RequestClass.HEAVY));
+
+    timer.advance(10);
+    assertThat(heavy).isCompletedWithValueMatching(this::isGranted);
+    assertThat(quick).isNotDone();
+    assertThat(middle).isNotDone();
+
+    timer.advance(150);
+    assertThat(quick).isCompletedWithValueMatching(this::isGranted);
+    assertThat(middle).isCompletedWithValueMatching(this::isGranted);
+  }
+
   private boolean isGranted(Admission admission) {
     return admission instanceof Admission.Granted;
   }
@@ -101,10 +123,7 @@
   }
 
   private RequestRouter borrower() {
-    return routers.values().stream()
-        .filter(router -> !router.ledger().holdsToken("b"))
-        .findFirst()
-        .orElseThrow();
+    return holder() == routers.get("e0") ? routers.get("e1") : routers.get("e0");
   }
 
   private RoutedRequest request(String id, RequestClass requestClass) {
