--- a/coordination/src/main/java/org/vanillacove/coordination/routing/BackendSelector.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/BackendSelector.java
@@ -1,9 +1,11 @@
 package org.vanillacove.coordination.routing;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
 import java.util.function.ToIntFunction;
 import org.vanillacove.protocol.platform.ListedHost;
 import org.vanillacove.state.api.AvailabilityZone;
@@ -16,8 +18,14 @@
   /** Round trip to another region, in milliseconds. */
   private static final double REGION_MILLIS = 60;
 
+  /** Share of the mean service time that the way to another region may add without a wait. */
+  private static final double CROSSING_SHARE = 0.1;
+
   /** Largest share of backend servers that may be left out, in percent. */
-  private static final int MAX_EJECTED_PERCENT = 50;
+  private static final long MAX_EJECTED_PERCENT = 50;
+
+  /** Time for which a look at all backend servers is kept, in milliseconds. */
+  private static final long LOOK_KEPT_MILLIS = 20;
 
   /** Backend servers. */
   private final BackendDirectory directory;
@@ -28,39 +36,77 @@
   /** Service times of the classes. */
   private final ServiceTimes times;
 
+  /** Wait in milliseconds after which any request may cross regions. */
+  private final LongSupplier crossAfterMillis;
+
   /** Health by backend server. */
   private final Map<String, BackendHealth> health = new ConcurrentHashMap<>();
 
-  BackendSelector(BackendDirectory directory, AvailabilityZone zone, ServiceTimes times) {
+  /** Newest look at all backend servers. */
+  private volatile Look newest = new Look(1, false, Long.MIN_VALUE);
+
+  BackendSelector(
+      BackendDirectory directory,
+      AvailabilityZone zone,
+      ServiceTimes times,
+      LongSupplier crossAfterMillis) {
     this.directory = directory;
     this.zone = zone;
     this.times = times;
+    this.crossAfterMillis = crossAfterMillis;
   }
 
+  /**
+   * A look at all backend servers.
+   *
+   * @param median slowness of the median backend server, relative to the mean of the class
+   * @param tooManyEjected whether so many are left out that health is ignored
+   * @param untilMillis monotonic time until which the look is kept
+   */
+  private record Look(double median, boolean tooManyEjected, long untilMillis) {}
+
   BackendHealth health(String backendId) {
     return health.computeIfAbsent(backendId, id -> new BackendHealth());
   }
 
+  /**
+   * Returns how slow a backend server is compared with the median of those that answered. All of
+   * them being slower than expected says that the expectation is wrong, not that they are slow.
+   */
+  double slowness(String backendId, long nowMillis) {
+    return health(backendId).slowness(nowMillis) / look(nowMillis).median();
+  }
+
+  /** Returns whether one more request may be sent to a backend server. */
+  boolean allows(String backendId, long nowMillis) {
+    return health(backendId).allows(nowMillis, slowness(backendId, nowMillis));
+  }
+
   /**
    * Returns the backend server with the least expected time among those with a free slot, if
    * waiting for a better one would not be quicker.
    *
    * @param free number of slots that can be taken, by backend server
-   * @param waitMillis expected wait until a slot of a usual backend server is free
+   * @param waitMillis expected wait until a slot of a usual backend server is free, or the time
+   *     waited so far if that is longer
    */
   Optional<ListedHost> select(
       RoutedRequest request, ToIntFunction<String> free, double waitMillis, long nowMillis) {
-    boolean ignoreHealth = tooManyEjected(nowMillis);
+    Look look = look(nowMillis);
     double usual = times.mean(request.requestClass());
     ListedHost best = null;
     double bestCost = Double.MAX_VALUE;
     for (ListedHost backend : directory.listed()) {
       int slots = backend.leaving() ? 0 : free.applyAsInt(backend.id());
+      if (slots <= 0) {
+        continue;
+      }
       BackendHealth seen = health(backend.id());
-      if (slots <= 0 || !(ignoreHealth || seen.allows(nowMillis))) {
+      double slowness = seen.slowness(nowMillis) / look.median();
+      if (!look.tooManyEjected() && !seen.allows(nowMillis, slowness)) {
         continue;
       }
-      double cost = usual * seen.slowness(nowMillis) + distanceMillis(backend) - 0.05 * slots;
+      double cost = usual * slowness + distanceMillis(backend) - 0.05 * slots;
       cost += request.avoided().contains(backend.id()) ? 10 * usual : 0;
       if (cost < bestCost) {
         bestCost = cost;
@@ -71,15 +117,23 @@
     return worth ? Optional.of(best) : Optional.empty();
   }
 
+  /**
+   * Returns whether a request may run in another region: at once if the way there is short beside
+   * its service, else after a wait.
+   */
+  boolean mayCross(RoutedRequest request, double waitMillis) {
+    return REGION_MILLIS <= CROSSING_SHARE * times.mean(request.requestClass())
+        || waitMillis >= crossAfterMillis.getAsLong();
+  }
+
   /** Returns whether a slot of a backend server is worth lending for a request that waited. */
   boolean isLendable(String backendId, Set<String> unwanted, double waitedMillis, long nowMillis) {
     Optional<ListedHost> backend = directory.find(backendId);
     if (backend.isEmpty() || backend.get().leaving() || unwanted.contains(backendId)) {
       return false;
     }
-    BackendHealth seen = health(backendId);
-    return seen.allows(nowMillis)
-        && times.mixMean() * (seen.slowness(nowMillis) - 1) <= times.mixMean() + waitedMillis;
+    double extra = times.mixMean() * (slowness(backendId, nowMillis) - 1);
+    return allows(backendId, nowMillis) && extra <= times.mixMean() + waitedMillis;
   }
 
   /** Returns how many backend servers of a region can serve, at least one. */
@@ -94,25 +148,42 @@
 
   private boolean isWorthwhile(
       RoutedRequest request, ListedHost backend, double waitMillis, long nowMillis) {
-    double extra =
-        times.mean(request.requestClass()) * (health(backend.id()).slowness(nowMillis) - 1);
-    return extra <= waitMillis + times.mean(request.requestClass());
+    double extra = times.mean(request.requestClass()) * (slowness(backend.id(), nowMillis) - 1);
+    return extra <= waitMillis + times.mean(request.requestClass())
+        && (isNear(backend) || mayCross(request, waitMillis));
   }
 
-  private double distanceMillis(ListedHost backend) {
-    if (!backend.zone().region().equals(zone.region())) {
-      return REGION_MILLIS;
+  private Look look(long nowMillis) {
+    Look kept = newest;
+    if (nowMillis < kept.untilMillis()) {
+      return kept;
     }
-    return backend.zone().name().equals(zone.name()) ? 0 : ZONE_MILLIS;
+    List<BackendHealth> all =
+        directory.listed().stream().map(backend -> health(backend.id())).toList();
+    double[] seen =
+        all.stream()
+            .filter(BackendHealth::isObserved)
+            .mapToDouble(each -> each.slowness(nowMillis))
+            .sorted()
+            .toArray();
+    long ejected = all.stream().filter(each -> each.isEjected(nowMillis)).count();
+    Look fresh =
+        new Look(
+            seen.length == 0 ? 1 : seen[(seen.length - 1) / 2],
+            ejected * 100 > all.size() * MAX_EJECTED_PERCENT,
+            nowMillis + LOOK_KEPT_MILLIS);
+    newest = fresh;
+    return fresh;
   }
 
-  private boolean tooManyEjected(long nowMillis) {
-    int all = 0;
-    int ejected = 0;
-    for (ListedHost backend : directory.listed()) {
-      all++;
-      ejected += health(backend.id()).isEjected(nowMillis) ? 1 : 0;
+  private boolean isNear(ListedHost backend) {
+    return backend.zone().region().equals(zone.region());
+  }
+
+  private double distanceMillis(ListedHost backend) {
+    if (!isNear(backend)) {
+      return REGION_MILLIS;
     }
-    return ejected * 100 > all * MAX_EJECTED_PERCENT;
+    return backend.zone().name().equals(zone.name()) ? 0 : ZONE_MILLIS;
   }
 }
--- a/coordination/src/main/java/org/vanillacove/coordination/routing/RequestRouter.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/RequestRouter.java
@@ -108,8 +108,13 @@
     long incarnation = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
     this.ledger = new SlotLedger(membership, link, timer, settings, timing, incarnation);
     this.tokens = new SlotTokens(membership, link, timer, timing, ledger, directory, occupancy);
-    this.borrower = new SlotBorrower(membership, link, timer, settings, ledger);
-    this.selector = new BackendSelector(directory, membership.self().zone(), times);
+    this.borrower = new SlotBorrower(membership, link, timer, ledger);
+    this.selector =
+        new BackendSelector(
+            directory,
+            membership.self().zone(),
+            times,
+            () -> settings.get().crossRegionPenaltyMillis());
     this.budget = new RetryBudget(() -> settings.get().retryBudgetPercent());
     this.waitSummary =
         DistributionSummary.builder("routing.wait.millis")
@@ -159,7 +164,7 @@
       case RequestOutcome.Answered answered -> {
         boolean success = answered.status() < 500;
         health.onEnd(success, success ? relative : 0, now);
-        if (success && health.slowness(now) < 2) {
+        if (success && selector.slowness(hold.backendId(), now) < BackendHealth.SLOW) {
           times.observe(request.requestClass(), (double) serviceMillis);
         }
       }
@@ -279,7 +284,13 @@
     if (heads.isEmpty()) {
       borrower.cancel();
     } else {
-      borrower.ask(queue.size(), heads.getFirst().urgencyMillis());
+      long now = timer.monotonicMillis();
+      boolean far =
+          heads.stream()
+              .anyMatch(
+                  head ->
+                      selector.mayCross(head.request(), (double) (now - head.enqueuedMillis())));
+      borrower.ask(queue.size(), heads.getFirst().urgencyMillis(), far);
     }
   }
 
@@ -290,9 +301,10 @@
     long now = timer.monotonicMillis();
     double wait = queue.size() == 1 ? 0 : expectedWaitMillis(queue.size(), now);
     for (WaitQueue.Waiting waiting : queue.heads()) {
+      double bearable = Math.max(wait, (double) (now - waiting.enqueuedMillis()));
       Optional<SlotHold> hold =
           selector
-              .select(waiting.request(), ledger::available, wait, now)
+              .select(waiting.request(), ledger::available, bearable, now)
               .flatMap(backend -> ledger.take(backend.id()));
       if (hold.isPresent() && grant(waiting, hold.get(), now)) {
         return true;
@@ -367,7 +379,7 @@
   private List<SlotLoan> lendTo(SlotWants.Want want) {
     long now = timer.monotonicMillis();
     Set<String> unwanted = new HashSet<>(want.message().getUnwantedList());
-    double waited = (double) (now - want.urgencyMillis());
+    double waited = (double) Math.max(0, now - want.urgencyMillis());
     List<SlotLoan> loans = new ArrayList<>();
     for (ListedHost backend : directory.listed()) {
       if (loans.size() < want.message().getCount()
