--- a/daemon/src/main/java/org/vanillacove/daemon/DaemonOptions.java
+++ b/daemon/src/main/java/org/vanillacove/daemon/DaemonOptions.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.Optional;
 import org.kohsuke.args4j.Option;
+import org.vanillacove.daemon.log.LogFormat;
 
 /** Arguments of the daemon. */
 final class DaemonOptions {
@@ -30,6 +31,10 @@
       depends = "--local")
   private int portBase = 7_400;
 
+  /** Form of the log. */
+  @Option(name = "--log-format", usage = "form of the log on standard error")
+  private LogFormat logFormat = LogFormat.TEXT;
+
   /** Whether help is printed. */
   @Option(name = "--help", aliases = "-h", usage = "print this help", help = true)
   private boolean help;
@@ -54,6 +59,11 @@
     return portBase;
   }
 
+  /** Returns the form of the log. */
+  LogFormat logFormat() {
+    return logFormat;
+  }
+
   /** Returns whether help is printed. */
   boolean isHelp() {
     return help;
--- a/daemon/src/main/java/org/vanillacove/daemon/Vanillacoved.java
+++ b/daemon/src/main/java/org/vanillacove/daemon/Vanillacoved.java
@@ -62,6 +62,7 @@
     if (options.isHelp()) {
       return usage(parser, System.out, "Runs an entry host.", EXIT_DONE);
     }
+    options.logFormat().install();
     if (options.isLocal()) {
       return runLocal(options.portBase());
     }
@@ -74,7 +75,7 @@
   private static int usage(
       CmdLineParser parser, PrintStream stream, String firstLine, int exitCode) {
     stream.println(firstLine);
-    stream.println("usage: vanillacoved --settings FILE [--check] | --local [--port-base N]");
+    stream.println("usage: vanillacoved --settings FILE [--check] | --local [--port-base N] [--log-format F]");
     parser.printUsage(new OutputStreamWriter(stream, StandardCharsets.UTF_8), null);
     return exitCode;
   }
--- /dev/null
+++ b/daemon/src/main/java/org/vanillacove/daemon/log/package-info.java
@@ -0,0 +1,2 @@
+/** Forms of the daemon's log. */
+package org.vanillacove.daemon.log;
