--- a/daemon/src/main/java/org/vanillacove/daemon/Vanillacoved.java
+++ b/daemon/src/main/java/org/vanillacove/daemon/Vanillacoved.java
@@ -75,7 +75,8 @@
   private static int usage(
       CmdLineParser parser, PrintStream stream, String firstLine, int exitCode) {
     stream.println(firstLine);
-    stream.println("usage: vanillacoved --settings FILE [--check] | --local [--port-base N] [--log-format F]");
+    stream.println(
+        "usage: vanillacoved --settings FILE [--check] | --local [--port-base N] [--log-format F]");
     parser.printUsage(new OutputStreamWriter(stream, StandardCharsets.UTF_8), null);
     return exitCode;
   }
--- a/daemon/src/test/java/org/vanillacove/daemon/system/HostCutTest.java
+++ b/daemon/src/test/java/org/vanillacove/daemon/system/HostCutTest.java
@@ -5,86 +5,68 @@
 import static org.vanillacove.daemon.system.CellSteps.SERVICE;
 import static org.vanillacove.daemon.system.CellSteps.eventually;
 
-import java.io.IOException;
-import java.nio.file.Path;
 import java.util.stream.IntStream;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.extension.RegisterExtension;
 
 /** Cuts regions of one entry host each off from the others, as processes, silently. */
 class HostCutTest {
-  private static final int HOSTS = 3;
-
-  @TempDir private Path directory;
-  private HostProcesses cell;
-  private CellSteps steps;
-
-  @BeforeEach
-  void startCell() throws IOException {
-    cell = new HostProcesses(HOSTS, directory);
-    steps = new CellSteps(cell);
-    steps.awaitReady();
-  }
-
-  @AfterEach
-  void closeCell() {
-    cell.close();
-  }
+  @RegisterExtension private final RunningCellExtension running = new RunningCellExtension();
 
   @Test
   void regionOfTheLeaderIsCutOffAndComesBack() {
-    int parted = cell.leader().orElseThrow();
-    int other = (parted + 1) % HOSTS;
-    steps.submitAndRun(other, "planner", SERVICE, 3);
-    steps.submitAndRun(other, "report", ONCE, 2);
+    int parted = running.cell().leader().orElseThrow();
+    int other = (parted + 1) % RunningCellExtension.HOSTS;
+    running.steps().submitAndRun(other, "planner", SERVICE, 3);
+    running.steps().submitAndRun(other, "report", ONCE, 2);
 
-    cell.cutOff(parted);
+    running.cell().cutOff(parted);
 
     eventually(() -> isLedByAnother(other, parted));
-    steps.submitAndRun(other, "meanwhile", SERVICE, 3);
-    steps.assertAnswered(other, "/stock");
-    assertThat(steps.starts("report", 2)).containsOnly(1);
-    assertThat(steps.places("planner", 3)).containsOnly(1L);
+    running.steps().submitAndRun(other, "meanwhile", SERVICE, 3);
+    running.steps().assertAnswered(other, "/stock");
+    assertThat(running.steps().starts("report", 2)).containsOnly(1);
+    assertThat(running.steps().places("planner", 3)).containsOnly(1L);
     long version = configure(other);
 
-    cell.links.mend();
+    running.cell().links.mend();
 
-    eventually(() -> steps.leaderSeenBy(parted).equals(steps.leaderSeenBy(other)));
-    eventually(() -> steps.versionOn(parted) == version);
-    steps.submitAndRun(parted, "after", SERVICE, 3);
-    steps.assertAnswered(parted, "/stock");
-    assertThat(steps.starts("report", 2)).containsOnly(1);
+    eventually(
+        () -> running.steps().leaderSeenBy(parted).equals(running.steps().leaderSeenBy(other)));
+    eventually(() -> running.steps().versionOn(parted) == version);
+    running.steps().submitAndRun(parted, "after", SERVICE, 3);
+    running.steps().assertAnswered(parted, "/stock");
+    assertThat(running.steps().starts("report", 2)).containsOnly(1);
     for (String job : new String[] {"planner", "meanwhile", "after"}) {
-      assertThat(steps.places(job, 3)).as(job).containsOnly(1L);
+      assertThat(running.steps().places(job, 3)).as(job).containsOnly(1L);
     }
   }
 
   @Test
   void regionWithoutTheLeaderAnswersItsGuestsWhileItIsCutOff() {
-    int leader = cell.leader().orElseThrow();
-    int parted = (leader + 1) % HOSTS;
-    steps.submitAndRun(leader, "planner", SERVICE, 3);
-    eventually(() -> steps.isAnswered(parted, "/stock"));
+    int leader = running.cell().leader().orElseThrow();
+    int parted = (leader + 1) % RunningCellExtension.HOSTS;
+    running.steps().submitAndRun(leader, "planner", SERVICE, 3);
+    eventually(() -> running.steps().isAnswered(parted, "/stock"));
 
-    cell.cutOff(parted);
+    running.cell().cutOff(parted);
     eventually(() -> seesOthersGone(parted));
 
-    assertThat(steps.isAnswered(parted, "/stock")).isTrue();
-    assertThat(cell.submit(parted, "refused", ONCE).orElseThrow().path("result").asText())
+    assertThat(running.steps().isAnswered(parted, "/stock")).isTrue();
+    assertThat(running.cell().submit(parted, "refused", ONCE).orElseThrow().path("result").asText())
         .isIn("REFUSED", "UNKNOWN");
-    assertThat(steps.leaderSeenBy(leader)).contains(HostProcesses.name(leader));
+    assertThat(running.steps().leaderSeenBy(leader)).contains(HostProcesses.name(leader));
 
-    cell.links.mend();
+    running.cell().links.mend();
 
     eventually(() -> !seesOthersGone(parted));
-    steps.submitAndRun(parted, "after", SERVICE, 3);
-    assertThat(steps.places("planner", 3)).containsOnly(1L);
+    running.steps().submitAndRun(parted, "after", SERVICE, 3);
+    assertThat(running.steps().places("planner", 3)).containsOnly(1L);
   }
 
   private boolean isLedByAnother(int host, int former) {
-    return steps
+    return running
+        .steps()
         .leaderSeenBy(host)
         .filter(leader -> !leader.isEmpty() && !leader.equals(HostProcesses.name(former)))
         .isPresent();
@@ -94,22 +76,18 @@
     String document = "{\"defaults\": {\"routing\": {\"queueLimit\": 1999}}, \"exceptions\": []}";
     eventually(
         () ->
-            cell.configure(host, Math.max(0, steps.versionOn(host)), document)
+            running
+                .cell()
+                .configure(host, Math.max(0, running.steps().versionOn(host)), document)
                 .filter(CellSteps::isAccepted)
                 .isPresent());
-    eventually(() -> steps.versionOn(host) > 0);
-    return steps.versionOn(host);
+    eventually(() -> running.steps().versionOn(host) > 0);
+    return running.steps().versionOn(host);
   }
 
   private boolean seesOthersGone(int host) {
-    return cell.status(host)
-        .map(status -> status.path("hosts"))
-        .filter(
-            hosts ->
-                IntStream.range(0, HOSTS)
-                    .mapToObj(hosts::get)
-                    .filter(seen -> !seen.path("hostId").asText().equals(HostProcesses.name(host)))
-                    .noneMatch(seen -> seen.path("reachable").asBoolean()))
-        .isPresent();
+    return IntStream.range(0, RunningCellExtension.HOSTS)
+        .filter(other -> other != host)
+        .allMatch(other -> running.cell().seesGone(host, other));
   }
 }
--- a/daemon/src/test/java/org/vanillacove/daemon/system/HostProcesses.java
+++ b/daemon/src/test/java/org/vanillacove/daemon/system/HostProcesses.java
@@ -141,6 +141,19 @@
     return call(index, HttpMethod.GET, "/api/v1/status", "");
   }
 
+  /** Returns whether a host answers and says that another one cannot be reached. */
+  boolean seesGone(int index, int other) {
+    return status(index)
+        .map(status -> status.path("hosts"))
+        .filter(
+            seen ->
+                IntStream.range(0, seen.size())
+                    .mapToObj(seen::get)
+                    .filter(host -> host.path("hostId").asText().equals(name(other)))
+                    .noneMatch(host -> host.path("reachable").asBoolean()))
+        .isPresent();
+  }
+
   Optional<JsonNode> job(int index, String id) {
     return call(index, HttpMethod.GET, "/api/v1/jobs/" + id, "");
   }
