Bind peer certificates to hosts and give a local cell its own keys

Any certificate of the common authority could say hello as any host, and so close the connection of the host it named. Now both ends of a peer connection check that a DNS name of the other's certificate equals the host identifier of its hello; the rejection names the host. A peer key must therefore name its host; LocalKeyMaker adds that name.

A local cell makes keys for its peer links in a temporary directory that goes with it. A private key file is made readable by its owner only.

A plain-text client at the operators' TLS port had its connection closed without a word. The port now tells TLS from plain text and answers the latter with 400, saying that it takes TLS only; nothing of the request is looked at.

The time line kept 20,000 events whatever retention.timelineEvents said; the recorder now follows the configuration in force, from the built-in 16,384.

docs/METRICS.md lists each metric with its unit, what to do when it rises, and alerts; LocalCellTest fails if the page and a running host differ, either way.

Tests: LocalCellTest is new (5).

Ruled out: TLS at the operators' port of every local cell, since the command line would then need a file to trust in each command of the tour.

--- a/daemon/src/main/java/org/vanillacove/daemon/DaemonOptions.java
+++ b/daemon/src/main/java/org/vanillacove/daemon/DaemonOptions.java
@@ -30,6 +30,15 @@
       depends = "--local")
   private int portBase = 7_400;
 
+  /** Directory of the keys of the local cell, null for plain text at the ports. */
+  @Option(
+      name = "--keys",
+      metaVar = "DIRECTORY",
+      usage =
+          "make keys there, and open the operators' and guests' ports of the local cell with TLS",
+      depends = "--local")
+  private File keys;
+
   /** Whether help is printed. */
   @Option(name = "--help", aliases = "-h", usage = "print this help", help = true)
   private boolean help;
@@ -54,6 +63,11 @@
     return portBase;
   }
 
+  /** Returns the directory of the keys of the local cell, empty for plain text at the ports. */
+  Optional<Path> keys() {
+    return Optional.ofNullable(keys).map(File::toPath);
+  }
+
   /** Returns whether help is printed. */
   boolean isHelp() {
     return help;
--- a/daemon/src/main/java/org/vanillacove/daemon/Vanillacoved.java
+++ b/daemon/src/main/java/org/vanillacove/daemon/Vanillacoved.java
@@ -7,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.kohsuke.args4j.CmdLineException;
 import org.kohsuke.args4j.CmdLineParser;
@@ -63,7 +64,7 @@
       return usage(parser, System.out, "Runs an entry host.", EXIT_DONE);
     }
     if (options.isLocal()) {
-      return runLocal(options.portBase());
+      return runLocal(options.portBase(), options.keys());
     }
     if (options.settings().isEmpty()) {
       return usage(parser, System.err, "error: --settings FILE or --local is needed", EXIT_USAGE);
@@ -74,14 +75,16 @@
   private static int usage(
       CmdLineParser parser, PrintStream stream, String firstLine, int exitCode) {
     stream.println(firstLine);
-    stream.println("usage: vanillacoved --settings FILE [--check] | --local [--port-base N]");
+    stream.println(
+        "usage: vanillacoved --settings FILE [--check] |"
+            + " --local [--port-base N] [--keys DIRECTORY]");
     parser.printUsage(new OutputStreamWriter(stream, StandardCharsets.UTF_8), null);
     return exitCode;
   }
 
-  private static int runLocal(int portBase) throws InterruptedException {
+  private static int runLocal(int portBase, Optional<Path> keys) throws InterruptedException {
     try {
-      LocalCell cell = new LocalCell(portBase);
+      LocalCell cell = new LocalCell(portBase, keys);
       endOnSignal(cell::drain);
       awaitReady(cell::isReady);
       System.out.println(cell.readyLine());
--- a/daemon/src/main/java/org/vanillacove/daemon/host/EntryHost.java
+++ b/daemon/src/main/java/org/vanillacove/daemon/host/EntryHost.java
@@ -22,6 +22,7 @@
 import org.vanillacove.coordination.timeline.RingTimelineRecorder;
 import org.vanillacove.coordination.timeline.TimelineService;
 import org.vanillacove.coordination.timer.ScheduledTimerService;
+import org.vanillacove.protocol.configuration.FleetDefaults;
 import org.vanillacove.protocol.peer.PeerLink;
 import org.vanillacove.protocol.settings.DaemonSettings;
 import org.vanillacove.protocol.timer.TimerService;
@@ -52,9 +53,6 @@
   /** Period at which expired exceptions are looked for. */
   private static final Duration CONFIGURATION_PERIOD = Duration.ofSeconds(1);
 
-  /** Events that the time line keeps on one host. */
-  private static final int TIMELINE_EVENTS = 20_000;
-
   /** Settings of this host. */
   private final DaemonSettings settings;
 
@@ -71,6 +69,9 @@
   /** The node of the cell. */
   private final CellNode node;
 
+  /** Keeps events for the time line. */
+  private final RingTimelineRecorder recorder;
+
   /** The configuration. */
   private final ConfigurationService configuration;
 
@@ -102,8 +103,7 @@
     keep(timer);
     HostTls tls = HostTls.of(settings.tls(), timer);
     keep(tls);
-    RingTimelineRecorder recorder =
-        new RingTimelineRecorder(settings.hostId(), timer, TIMELINE_EVENTS);
+    recorder = new RingTimelineRecorder(settings.hostId(), timer, FleetDefaults.TIMELINE_EVENTS);
     PeerLink link = openLink(tls);
     PlatformClient platform = platformClient(settings.platform().log());
     PlatformClient hosts = platformClient(settings.platform().hostList());
@@ -149,7 +149,7 @@
             GuestLimits.DEFAULTS,
             () -> routing().defaultDeadlineMillis());
     guestHttp = guestHttp(tls);
-    operatorHttp = operatorHttp(tls, recorder, new TimelineService(recorder, channel), timer);
+    operatorHttp = operatorHttp(tls, new TimelineService(recorder, channel), timer);
   }
 
   /**
@@ -158,8 +158,8 @@
    * @throws HostStartException if an address cannot be used
    */
   public void start() throws HostStartException {
-    node.onConfiguration(version -> applyPlacement());
-    timer.every(CONFIGURATION_PERIOD, this::applyPlacement);
+    node.onConfiguration(version -> applyConfiguration());
+    timer.every(CONFIGURATION_PERIOD, this::applyConfiguration);
     node.start();
     open(operatorHttp, "listen.operator");
     open(guestHttp, "listen.guest");
@@ -213,7 +213,8 @@
     return null;
   }
 
-  private synchronized void applyPlacement() {
+  private synchronized void applyConfiguration() {
+    recorder.setLimit(configuration.inForce().effective().timelineEvents());
     PlacementSettings current = configuration.inForce().effective().placement();
     if (!current.equals(placement)) {
       placement = current;
@@ -249,12 +250,11 @@
     return builder.build();
   }
 
-  private Server operatorHttp(
-      HostTls tls, RingTimelineRecorder recorder, TimelineService timeline, TimerService clock)
+  private Server operatorHttp(HostTls tls, TimelineService timeline, TimerService clock)
       throws HostStartException {
     ServerBuilder builder = Server.builder();
-    ServerPorts.add(
-        builder, "listen.operator", settings.listen().operator(), tls.operator(), false);
+    ServerPorts.addWithRefusal(
+        builder, "listen.operator", settings.listen().operator(), tls.operator());
     TokenAuthority authority = new TokenAuthority(settings.tokens(), clock, new SecureRandom());
     OperatorDependencies dependencies =
         new OperatorDependencies(
--- a/daemon/src/main/java/org/vanillacove/daemon/local/LocalCell.java
+++ b/daemon/src/main/java/org/vanillacove/daemon/local/LocalCell.java
@@ -1,7 +1,9 @@
 package org.vanillacove.daemon.local;
 
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletionException;
 import java.util.stream.IntStream;
 import org.vanillacove.coordination.timer.ScheduledTimerService;
@@ -11,7 +13,6 @@
 import org.vanillacove.protocol.settings.DaemonSettings.ListenAddresses;
 import org.vanillacove.protocol.settings.DaemonSettings.PlatformAddresses;
 import org.vanillacove.protocol.settings.DaemonSettings.TimingSettings;
-import org.vanillacove.protocol.settings.DaemonSettings.TlsSettings;
 import org.vanillacove.state.api.AvailabilityZone;
 import org.vanillacove.state.api.HostSpec;
 
@@ -29,16 +30,23 @@
   /** The platform. */
   private final LocalPlatform platform;
 
+  /** Keys of the ports. */
+  private final LocalKeys keys;
+
   /** Entry hosts. */
   private final List<EntryHost> hosts = new ArrayList<>();
 
   /**
    * Starts the cell.
    *
+   * @param portBase first port
+   * @param keyDirectory directory of keys for TLS at the operators' and guests' ports, empty for
+   *     plain text there; peer links always use TLS
    * @throws HostStartException if a port cannot be used
    */
-  public LocalCell(int portBase) throws HostStartException {
+  public LocalCell(int portBase, Optional<Path> keyDirectory) throws HostStartException {
     ports = new LocalPorts(portBase);
+    keys = new LocalKeys(keyDirectory);
     platform = startPlatform();
     for (int index = 0; index < HOSTS; index++) {
       startHost(index);
@@ -54,7 +62,11 @@
 
   /** Returns the line that says where the cell can be reached. */
   public String readyLine() {
-    return "ready operator=" + ports.operator(0) + " guest=" + ports.guest(0);
+    return "ready operator="
+        + ports.operator(0)
+        + " guest="
+        + ports.guest(0)
+        + keys.trusted().map(file -> " trusted=" + file).orElse("");
   }
 
   /** Returns the entry hosts. */
@@ -79,6 +91,7 @@
   public void close() {
     hosts.forEach(EntryHost::close);
     platform.close();
+    keys.close();
     timer.close();
   }
 
@@ -87,6 +100,7 @@
       return new LocalPlatform(ports.platform(), ports::worker, timer);
     } catch (CompletionException e) {
       timer.close();
+      keys.close();
       throw new HostStartException("--port-base", "a port cannot be used", e);
     }
   }
@@ -102,7 +116,7 @@
     }
   }
 
-  private DaemonSettings settings(int index) {
+  private DaemonSettings settings(int index) throws HostStartException {
     AvailabilityZone zone = LocalPlatform.zoneOfHost(index);
     String address = platform.address();
     return new DaemonSettings(
@@ -111,7 +125,7 @@
         new ListenAddresses(ports.guest(index), ports.operator(index), ports.peer(index)),
         new PlatformAddresses(address, address, address),
         IntStream.range(0, HOSTS).mapToObj(this::spec).toList(),
-        TlsSettings.NONE,
+        keys.settings(hostId(index)),
         List.of(),
         TimingSettings.DEFAULTS);
   }
--- /dev/null
+++ b/daemon/src/test/java/org/vanillacove/daemon/local/LocalCellTest.java
@@ -0,0 +1,171 @@
+package org.vanillacove.daemon.local;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.RequestHeaders;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.vanillacove.daemon.host.HostStartException;
+
+/** A local cell whose ports use keys that it made itself. */
+class LocalCellTest {
+  private static final Duration START = Duration.ofSeconds(60);
+  private static final int GUEST = 100;
+  private static final int FEW_EVENTS = 256;
+  private static final int SPAN = 400;
+  private static final int FIRST_BASE = 21_000;
+  private static final Pattern TYPE = Pattern.compile("(?m)^# TYPE (\\S+) ");
+  private static final Pattern ROW = Pattern.compile("(?m)^\\| `([a-z_]+)` \\|");
+
+  @TempDir private static Path keys;
+
+  private static int base;
+  private static LocalCell cell;
+  private static ClientFactory trusting;
+
+  @BeforeAll
+  static void start() throws HostStartException {
+    base = freeBase();
+    cell = new LocalCell(base, Optional.of(keys));
+    trusting =
+        ClientFactory.builder()
+            .tlsCustomizer(tls -> tls.trustManager(keys.resolve("authority.pem").toFile()))
+            .build();
+    await().atMost(START).until(cell::isReady);
+  }
+
+  @AfterAll
+  static void stop() {
+    trusting.closeAsync();
+    cell.close();
+  }
+
+  @Test
+  void keysWorkAtOperatorAndGuestPorts() {
+    assertThat(cell.readyLine()).endsWith("trusted=" + keys.resolve("authority.pem"));
+    assertThat(get("https", base, "/api/v1/status").contentUtf8()).contains("host-1", "host-3");
+    assertThat(get("https", base + GUEST, "/stock/castors").status().code()).isEqualTo(200);
+  }
+
+  @Test
+  void plainTextClientAtOperatorPortIsToldToUseTls() {
+    for (HttpMethod method : Set.of(HttpMethod.GET, HttpMethod.PUT)) {
+      for (String path : Set.of("/api/v1/jobs/j-1", "/metrics", "/healthz", "/nowhere")) {
+        AggregatedHttpResponse answer =
+            WebClient.of("http://127.0.0.1:" + base)
+                .execute(
+                    HttpRequest.of(
+                        RequestHeaders.of(
+                            method, path, HttpHeaderNames.AUTHORIZATION, "Bearer a:b"),
+                        HttpData.ofUtf8("{}")))
+                .aggregate()
+                .join();
+
+        assertThat(answer.status().code()).isEqualTo(400);
+        assertThat(answer.contentType()).isEqualTo(MediaType.JSON);
+        assertThat(answer.contentUtf8()).contains("REFUSED", "TLS").doesNotContain("a:b");
+      }
+    }
+  }
+
+  @Test
+  void privateKeysAreReadByTheirOwnerOnly() throws IOException {
+    for (String name : Set.of("ports", "host-1", "host-2", "host-3")) {
+      assertThat(
+              PosixFilePermissions.toString(
+                  Files.getPosixFilePermissions(keys.resolve(name + ".key"))))
+          .isEqualTo("rw-------");
+    }
+  }
+
+  @Test
+  void everyMetricIsInThePageAndTheOtherWayRound() throws IOException {
+    get("https", base + GUEST, "/stock/castors");
+
+    assertThat(matches(ROW, Files.readString(Path.of("..", "docs", "METRICS.md"))))
+        .isEqualTo(matches(TYPE, get("https", base, "/metrics").contentUtf8()));
+  }
+
+  @Test
+  void timelineKeepsAsManyEventsAsTheConfigurationSays() {
+    String body =
+        "{\"basedOn\":0,\"reason\":\"less memory\",\"document\":"
+            + "{\"defaults\":{\"retention\":{\"timelineEvents\":%d}}}}".formatted(FEW_EVENTS);
+    assertThat(send(HttpMethod.PUT, "/api/v1/configuration", body).status().code()).isEqualTo(200);
+
+    await()
+        .atMost(START)
+        .untilAsserted(
+            () -> {
+              for (int i = 0; i < 2 * FEW_EVENTS; i++) {
+                send(HttpMethod.DELETE, "/api/v1/exceptions/none", "");
+              }
+              String events =
+                  get("https", base, "/api/v1/timeline?kind=operator-request&limit=5000")
+                      .contentUtf8();
+              assertThat(events.split("DELETE", -1)).hasSizeBetween(2, FEW_EVENTS + 1);
+            });
+  }
+
+  private static AggregatedHttpResponse send(HttpMethod method, String path, String body) {
+    return WebClient.builder("https://127.0.0.1:" + base)
+        .factory(trusting)
+        .build()
+        .execute(HttpRequest.of(method, path, MediaType.JSON, body))
+        .aggregate()
+        .join();
+  }
+
+  private static Set<String> matches(Pattern pattern, String text) {
+    Set<String> names = new TreeSet<>();
+    pattern.matcher(text).results().forEach(result -> names.add(result.group(1)));
+    return names;
+  }
+
+  private static AggregatedHttpResponse get(String scheme, int port, String path) {
+    return WebClient.builder(scheme + "://127.0.0.1:" + port)
+        .factory(trusting)
+        .build()
+        .get(path)
+        .aggregate()
+        .join();
+  }
+
+  private static int freeBase() {
+    for (int candidate = FIRST_BASE; candidate < 2 * FIRST_BASE; candidate += SPAN) {
+      if (isFree(candidate) && isFree(candidate + GUEST) && isFree(candidate + 3 * GUEST)) {
+        return candidate;
+      }
+    }
+    throw new IllegalStateException("no free range of ports");
+  }
+
+  private static boolean isFree(int port) {
+    try (ServerSocket socket = new ServerSocket(port)) {
+      return socket.isBound();
+    } catch (IOException e) {
+      return false;
+    }
+  }
+}
--- a/transport/src/main/java/org/vanillacove/transport/peer/PeerClient.java
+++ b/transport/src/main/java/org/vanillacove/transport/peer/PeerClient.java
@@ -225,7 +225,8 @@
     } else if (!actualId.equals(peerId)) {
       lost(channel, "the address belongs to " + actualId);
     } else {
-      becomeReady(channel);
+      PeerCertificate.fault(channel, peerId)
+          .ifPresentOrElse(reason -> lost(channel, reason), () -> becomeReady(channel));
     }
   }
 
--- a/transport/src/main/java/org/vanillacove/transport/peer/PeerServerHandler.java
+++ b/transport/src/main/java/org/vanillacove/transport/peer/PeerServerHandler.java
@@ -79,7 +79,9 @@
   }
 
   private void acceptHello(ChannelHandlerContext context, PeerFrame frame) {
-    Optional<String> fault = PeerFrames.helloFault(frame, hostId);
+    Optional<String> fault =
+        PeerFrames.helloFault(frame, hostId)
+            .or(() -> PeerCertificate.fault(context.channel(), frame.getHello().getHostId()));
     if (fault.isPresent()) {
       LOG.atInfo().atMostEvery(LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
           "peer: rejecting connection from %s: %s", context.channel().remoteAddress(), fault.get());
--- a/transport/src/main/java/org/vanillacove/transport/security/LocalKeyMaker.java
+++ b/transport/src/main/java/org/vanillacove/transport/security/LocalKeyMaker.java
@@ -5,6 +5,8 @@
 import java.math.BigInteger;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermission;
+import java.nio.file.attribute.PosixFilePermissions;
 import java.security.GeneralSecurityException;
 import java.security.KeyPair;
 import java.security.KeyPairGenerator;
@@ -15,6 +17,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Date;
+import java.util.Optional;
+import java.util.Set;
 import org.bouncycastle.asn1.x500.X500Name;
 import org.bouncycastle.asn1.x509.BasicConstraints;
 import org.bouncycastle.asn1.x509.Extension;
@@ -39,6 +43,10 @@
   /** Bits of a serial number. */
   private static final int SERIAL_BITS = 120;
 
+  /** Who may read and write a private key. */
+  private static final Set<PosixFilePermission> OWNER_ONLY =
+      PosixFilePermissions.fromString("rw-------");
+
   /** Directory of the files. */
   private final Path directory;
 
@@ -57,19 +65,21 @@
     Files.createDirectories(directory);
     authorityKey = newKey();
     X500Name name = new X500Name("CN=vanillacove local authority");
-    authority = sign(newBuilder(name, name, authorityKey, true));
+    authority = sign(newBuilder(name, name, authorityKey, Optional.empty()));
     write(trustFile(), authority);
   }
 
-  /** Makes a key for {@code name} that is valid on this machine, and returns its files. */
+  /** Makes a key for {@code name}, also valid for this machine, and returns its files. */
   public TlsFiles makeKey(String name) throws IOException, GeneralSecurityException {
     KeyPair key = newKey();
     X500Name subject = new X500Name("CN=" + name);
     X500Name issuer = new X500Name(authority.getSubjectX500Principal().getName());
-    X509Certificate certificate = sign(newBuilder(issuer, subject, key, false));
+    X509Certificate certificate = sign(newBuilder(issuer, subject, key, Optional.of(name)));
     Path certificateFile = directory.resolve(name + ".pem");
     Path keyFile = directory.resolve(name + ".key");
     write(certificateFile, certificate);
+    Files.deleteIfExists(keyFile);
+    Files.createFile(keyFile, PosixFilePermissions.asFileAttribute(OWNER_ONLY));
     write(keyFile, pkcs8(key.getPrivate()));
     return new TlsFiles(certificateFile, keyFile, trustFile());
   }
@@ -85,7 +95,7 @@
   }
 
   private X509v3CertificateBuilder newBuilder(
-      X500Name issuer, X500Name subject, KeyPair key, boolean isAuthority) throws IOException {
+      X500Name issuer, X500Name subject, KeyPair key, Optional<String> host) throws IOException {
     Instant now = Instant.now();
     X509v3CertificateBuilder builder =
         new JcaX509v3CertificateBuilder(
@@ -95,11 +105,12 @@
             Date.from(now.plus(VALIDITY)),
             subject,
             key.getPublic());
-    builder.addExtension(Extension.basicConstraints, true, new BasicConstraints(isAuthority));
-    if (!isAuthority) {
+    builder.addExtension(Extension.basicConstraints, true, new BasicConstraints(host.isEmpty()));
+    if (host.isPresent()) {
       GeneralName[] names = {
         new GeneralName(GeneralName.iPAddress, "127.0.0.1"),
-        new GeneralName(GeneralName.dNSName, "localhost")
+        new GeneralName(GeneralName.dNSName, "localhost"),
+        new GeneralName(GeneralName.dNSName, host.get())
       };
       builder.addExtension(Extension.subjectAlternativeName, false, new GeneralNames(names));
     }
