Let changes meet the outage in the configuration bench

The figure in_force_after_outage_max_ms was 0 and meant nothing: the log refuses appends in the outage, the bench gave such changes up, so none that met the outage was ever accepted. Changes first made in the outage are now made again, a second after a refusal and 50 to 250 ms after a lost race, until they are accepted. Their successful attempt is timed from the end of the outage or from itself if later; outage_caught_up_ms is the time from the end until all of them were in force.

The figures say that time is virtual and links are in memory.

--- a/bench/src/main/java/org/vanillacove/bench/config/ConfigBench.java
+++ b/bench/src/main/java/org/vanillacove/bench/config/ConfigBench.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.HdrHistogram.Histogram;
 import org.apache.commons.math3.random.RandomGenerator;
 import org.apache.commons.math3.random.Well19937c;
@@ -19,7 +21,8 @@
 
 /**
  * Changes the configuration on nine hosts while they race, one of them restarts again and again and
- * the log fails once; time is virtual, the peer links are in memory.
+ * the log fails once; time is virtual, the peer links are in memory. A change that the outage
+ * refuses, or that met it and lost a race, is made again until it is accepted, as operators would.
  */
 public final class ConfigBench implements Bench {
   /** Entry hosts. */
@@ -55,6 +58,15 @@
   /** Length of the outage in milliseconds. */
   private static final long OUTAGE_MILLIS = 20_000;
 
+  /** Pause before a change that the outage refused is made again, in milliseconds. */
+  private static final long AGAIN_MILLIS = 1_000;
+
+  /** Shortest pause before a change that lost a race is made again, in milliseconds. */
+  private static final int RACE_PAUSE_MILLIS = 50;
+
+  /** Span of that pause in milliseconds. */
+  private static final int RACE_SPAN_MILLIS = 200;
+
   /** Step in which versions are looked at, in milliseconds. */
   private static final long STEP_MILLIS = 10;
 
@@ -64,9 +76,15 @@
   /** Longest wait for all changes at the end, in milliseconds. */
   private static final long SETTLE_MILLIS = 120_000;
 
+  /** Nanoseconds in a millisecond. */
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
   /** Wall time at the start in milliseconds since the Unix epoch. */
   private static final long START_MILLIS = 1_780_000_000_000L;
 
+  /** Logger of the parts under test, kept so that its level stays. */
+  private static final Logger PARTS = Logger.getLogger("org.vanillacove.coordination");
+
   /** Time. */
   private final ManualTimerService timer = new ManualTimerService(START_MILLIS);
 
@@ -85,23 +103,29 @@
   /** Running hosts by identifier. */
   private final Map<String, ConfigHost> hosts = new TreeMap<>();
 
-  /** Times of submission of accepted changes that are not in force everywhere yet, by version. */
-  private final TreeMap<Long, Long> pending = new TreeMap<>();
+  /** Accepted changes that are not in force everywhere yet, by version. */
+  private final TreeMap<Long, Attempt> pending = new TreeMap<>();
 
   /** Times from submission until in force everywhere outside the outage, in milliseconds. */
   private final Histogram outside = new Histogram(3);
 
-  /** Such times of changes that met the outage, counted from its end, in milliseconds. */
+  /** Such times of the attempts that succeeded for changes that met the outage. */
   private final Histogram after = new Histogram(3);
 
+  /** Times from the end of the outage until such changes were in force everywhere. */
+  private final Histogram caughtUp = new Histogram(3);
+
   /** Monotonic time at which the outage began, in milliseconds. */
   private long outageFrom = Long.MAX_VALUE;
 
   /** Monotonic time at which the outage ended, in milliseconds. */
   private long outageUntil = Long.MAX_VALUE;
 
-  /** Changes of the burst that have no outcome yet. */
-  private int burstOpen = BURST;
+  /** Changes that are made again until they are accepted and are not yet. */
+  private int open;
+
+  /** Changes first made in the outage. */
+  private long outageChanges;
 
   /** Number of versions that fell. */
   private long reverts;
@@ -123,6 +147,8 @@
 
   @Override
   public Map<String, Object> run(long seed) {
+    PARTS.setLevel(Level.OFF);
+    long begun = System.nanoTime();
     RandomGenerator random = new Well19937c(seed);
     for (int i = 0; i < HOSTS; i++) {
       String region = "region-" + i % REGIONS;
@@ -133,17 +159,19 @@
     long bytesBefore = counted.bytes();
     for (int i = 1; i <= CHANGES; i++) {
       disturb(i);
-      change(i, random, false);
+      change(first(i, false), random);
       if (i % RACE_EVERY == 0) {
-        change(-i, random, false);
+        change(first(-i, false), random);
       }
       advance(PAUSE_MILLIS);
     }
     for (int i = 1; i <= BURST; i++) {
-      change(CHANGES + i, random, true);
+      change(first(CHANGES + i, true), random);
     }
     settle();
-    return figures(counted.bytes() - bytesBefore);
+    Map<String, Object> figures = figures(counted.bytes() - bytesBefore);
+    figures.put("real_ms", (System.nanoTime() - begun) / NANOS_PER_MILLI);
+    return figures;
   }
 
   private void disturb(int number) {
@@ -175,37 +203,50 @@
         new ConfigHost(spec, specs, counted, network.link(spec.id()), timer, highestBefore));
   }
 
-  private void change(int number, RandomGenerator random, boolean again) {
+  private Attempt first(int number, boolean again) {
+    boolean met = outageUntil == Long.MAX_VALUE && outageFrom != Long.MAX_VALUE;
+    open += again || met ? 1 : 0;
+    outageChanges += met ? 1 : 0;
+    return new Attempt(number, timer.monotonicMillis(), again || met, met);
+  }
+
+  private void change(Attempt attempt, RandomGenerator random) {
     List<ConfigHost> ready = hosts.values().stream().filter(ConfigHost::isReady).toList();
     ConfigHost host = ready.get(random.nextInt(ready.size()));
-    String document = "{\"defaults\":{\"routing\":{\"queueLimit\":" + (10_000 + number) + "}}}";
-    long submitted = timer.monotonicMillis();
+    String document =
+        "{\"defaults\":{\"routing\":{\"queueLimit\":" + (10_000 + attempt.number) + "}}}";
     host.service()
-        .put(host.version(), document, "bench", "change " + number, DEADLINE)
-        .thenAccept(outcome -> count(outcome, submitted, number, random, again));
+        .put(host.version(), document, "bench", "change " + attempt.number, DEADLINE)
+        .thenAccept(outcome -> count(outcome, attempt, random));
   }
 
-  private void count(
-      ConfigurationOutcome outcome,
-      long submitted,
-      int number,
-      RandomGenerator random,
-      boolean again) {
-    burstOpen -= again && !(outcome instanceof ConfigurationOutcome.Conflict) ? 1 : 0;
+  private void count(ConfigurationOutcome outcome, Attempt attempt, RandomGenerator random) {
     switch (outcome) {
       case ConfigurationOutcome.Accepted done -> {
         accepted++;
-        pending.put(done.version(), submitted);
+        open -= attempt.again ? 1 : 0;
+        pending.put(done.version(), attempt);
       }
       case ConfigurationOutcome.Conflict lost -> {
         conflicts++;
-        if (again) {
-          timer.after(
-              Duration.ofMillis(50 + random.nextInt(200)), () -> change(number, random, true));
-        }
+        again(attempt, RACE_PAUSE_MILLIS + random.nextInt(RACE_SPAN_MILLIS), random);
+      }
+      case ConfigurationOutcome.Refused no -> {
+        refused++;
+        again(attempt, AGAIN_MILLIS, random);
+      }
+      case ConfigurationOutcome.Unknown maybe -> {
+        unknown++;
+        open -= attempt.again ? 1 : 0;
       }
-      case ConfigurationOutcome.Refused no -> refused++;
-      case ConfigurationOutcome.Unknown maybe -> unknown++;
+    }
+  }
+
+  private void again(Attempt attempt, long pauseMillis, RandomGenerator random) {
+    if (attempt.again) {
+      timer.after(
+          Duration.ofMillis(pauseMillis),
+          () -> change(attempt.madeAgainAt(timer.monotonicMillis()), random));
     }
   }
 
@@ -223,7 +264,7 @@
       lowest = host.isReady() ? Math.min(lowest, host.version()) : lowest;
     }
     while (!pending.isEmpty() && pending.firstKey() <= lowest) {
-      Map.Entry<Long, Long> entry = pending.pollFirstEntry();
+      Map.Entry<Long, Attempt> entry = pending.pollFirstEntry();
       record(entry.getValue());
       boolean known =
           hosts.values().stream()
@@ -233,19 +274,19 @@
     }
   }
 
-  private void record(long submitted) {
+  private void record(Attempt attempt) {
     long now = timer.monotonicMillis();
-    boolean met = submitted < outageUntil && now >= outageFrom;
-    if (met) {
-      after.recordValue(Math.max(0, now - Math.min(now, outageUntil)));
+    if (attempt.metOutage || (attempt.submitted < outageUntil && now >= outageUntil)) {
+      after.recordValue(now - Math.max(attempt.submitted, outageUntil));
+      caughtUp.recordValue(now - outageUntil);
     } else {
-      outside.recordValue(now - submitted);
+      outside.recordValue(now - attempt.submitted);
     }
   }
 
   private void settle() {
     long end = timer.monotonicMillis() + SETTLE_MILLIS;
-    while ((burstOpen > 0 || !pending.isEmpty()) && timer.monotonicMillis() < end) {
+    while ((open > 0 || !pending.isEmpty()) && timer.monotonicMillis() < end) {
       advance(STEP_MILLIS);
     }
     lostAccepted += pending.size();
@@ -256,6 +297,9 @@
     figures.put("in_force_p50_ms", outside.getValueAtPercentile(50));
     figures.put("in_force_max_ms", outside.getMaxValue());
     figures.put("in_force_after_outage_max_ms", after.getMaxValue());
+    figures.put("outage_changes", outageChanges);
+    figures.put("outage_changes_in_force", after.getTotalCount());
+    figures.put("outage_caught_up_ms", caughtUp.getMaxValue());
     figures.put("reverts", reverts);
     figures.put("lost_accepted", lostAccepted);
     figures.put("bytes_per_change", bytes / Math.max(1, accepted));
@@ -263,6 +307,7 @@
     figures.put("conflicts", conflicts);
     figures.put("refused", refused);
     figures.put("unknown", unknown);
+    figures.put("links", "memory, virtual time");
     return figures;
   }
 
@@ -273,4 +318,19 @@
   private static int region(String hostId) {
     return Integer.parseInt(hostId.substring(1)) % REGIONS;
   }
+
+  /**
+   * An attempt to make a change.
+   *
+   * @param number number of the change
+   * @param submitted monotonic time of the attempt in milliseconds
+   * @param again whether it is made again until it is accepted
+   * @param metOutage whether the change was first made in the outage
+   */
+  private record Attempt(int number, long submitted, boolean again, boolean metOutage) {
+    /** Returns the next attempt. */
+    Attempt madeAgainAt(long millis) {
+      return new Attempt(number, millis, again, metOutage);
+    }
+  }
 }
