List the configuration history without holding every document

The versions are now handed out one by one from the newest, so the listing holds two documents at a time, and the state's lock is held only for copying the differences.

--- a/coordination/src/main/java/org/vanillacove/coordination/api/CellView.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/api/CellView.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.vanillacove.state.api.HostSpec;
 import org.vanillacove.state.api.JobSpec;
 import org.vanillacove.state.api.Resources;
@@ -31,6 +32,11 @@
   /** Returns the configuration versions that are still kept, oldest first. */
   List<ConfigurationVersion> configurationHistory();
 
+  /** Hands the kept configuration versions to {@code visitor} one by one, newest first. */
+  default void visitConfigurations(Consumer<ConfigurationVersion> visitor) {
+    configurationHistory().reversed().forEach(visitor);
+  }
+
   /** Returns one configuration version if it is still kept. */
   default Optional<ConfigurationVersion> configuration(long version) {
     return configurationHistory().stream().filter(kept -> kept.version() == version).findFirst();
--- a/coordination/src/main/java/org/vanillacove/coordination/cell/CellNode.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/cell/CellNode.java
@@ -261,6 +261,11 @@
     return view.configurationHistory();
   }
 
+  @Override
+  public void visitConfigurations(Consumer<ConfigurationVersion> visitor) {
+    view.visitConfigurations(visitor);
+  }
+
   @Override
   public Optional<ConfigurationVersion> configuration(long version) {
     return view.configuration(version);
--- a/coordination/src/main/java/org/vanillacove/coordination/cell/FoldedView.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/cell/FoldedView.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.vanillacove.coordination.api.CellView;
 import org.vanillacove.coordination.membership.MembershipService;
 import org.vanillacove.coordination.scheduling.LeaderScheduler;
@@ -12,6 +13,7 @@
 import org.vanillacove.state.api.TaskOutcome;
 import org.vanillacove.state.api.WaitReason;
 import org.vanillacove.state.cell.CellState;
+import org.vanillacove.state.cell.ConfigurationHistory;
 import org.vanillacove.state.cell.JobState;
 import org.vanillacove.state.cell.TaskState;
 
@@ -93,6 +95,13 @@
         .toList();
   }
 
+  @Override
+  public void visitConfigurations(Consumer<ConfigurationVersion> visitor) {
+    ConfigurationHistory.visit(
+        store.read(CellState::configurationDeltas),
+        entry -> visitor.accept(ConfigurationFeed.versionOf(entry)));
+  }
+
   @Override
   public Optional<ConfigurationVersion> configuration(long version) {
     return store.read(state -> state.configuration(version)).map(ConfigurationFeed::versionOf);
--- a/coordination/src/main/java/org/vanillacove/coordination/configuration/ConfigurationService.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/configuration/ConfigurationService.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
 import org.vanillacove.coordination.api.CellControl;
 import org.vanillacove.coordination.api.CellView;
 import org.vanillacove.coordination.api.CellView.ConfigurationVersion;
@@ -129,9 +130,21 @@
     return ExceptionAudit.findings(inForce.current().document(), inForce.now());
   }
 
-  /** Returns the versions that are kept, oldest first. */
-  public List<ConfigurationVersion> history() {
-    return view.configurationHistory();
+  /** Returns the versions that are kept, oldest first; no two documents are held for longer. */
+  public List<VersionSummary> history() {
+    List<VersionSummary> history = new ArrayList<>();
+    AtomicReference<ConfigurationVersion> newer = new AtomicReference<>();
+    view.visitConfigurations(
+        version -> {
+          ConfigurationVersion last = newer.getAndSet(version);
+          if (last != null) {
+            history.add(VersionSummary.of(version.document(), last));
+          }
+        });
+    if (newer.get() != null) {
+      history.add(VersionSummary.of(ConfigurationText.EMPTY, newer.get()));
+    }
+    return history.reversed();
   }
 
   /** Returns the document of a version that is kept; version zero is the empty document. */
--- a/daemon/src/test/java/org/vanillacove/daemon/local/LocalCellTest.java
+++ b/daemon/src/test/java/org/vanillacove/daemon/local/LocalCellTest.java
@@ -3,6 +3,8 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
@@ -33,6 +35,8 @@
   private static final Duration START = Duration.ofSeconds(60);
   private static final int GUEST = 100;
   private static final int FEW_EVENTS = 256;
+  private static final int VERSIONS = 40;
+  private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int SPAN = 400;
   private static final int FIRST_BASE = 21_000;
   private static final Pattern TYPE = Pattern.compile("(?m)^# TYPE (\\S+) ");
@@ -108,11 +112,8 @@
   }
 
   @Test
-  void timelineKeepsAsManyEventsAsTheConfigurationSays() {
-    String body =
-        "{\"basedOn\":0,\"reason\":\"less memory\",\"document\":"
-            + "{\"defaults\":{\"retention\":{\"timelineEvents\":%d}}}}".formatted(FEW_EVENTS);
-    assertThat(send(HttpMethod.PUT, "/api/v1/configuration", body).status().code()).isEqualTo(200);
+  void timelineKeepsAsManyEventsAsTheConfigurationSays() throws IOException {
+    put("\"retention\":{\"timelineEvents\":%d}".formatted(FEW_EVENTS));
 
     await()
         .atMost(START)
@@ -128,6 +129,54 @@
             });
   }
 
+  @Test
+  void versionsOfManyChangesAgoAreShownComparedAndPutInForceAgain() throws IOException {
+    long first = put("\"routing\":{\"queueLimit\":100}");
+    long last = first;
+    for (int i = 1; i <= VERSIONS; i++) {
+      last = put("\"routing\":{\"queueLimit\":%d}".formatted(100 + i));
+    }
+
+    JsonNode history = json(get("https", base, "/api/v1/configuration/history")).path("versions");
+    assertThat(history.findValuesAsText("version"))
+        .hasSizeGreaterThan(VERSIONS)
+        .contains(Long.toString(first))
+        .endsWith(Long.toString(last));
+    assertThat(history.get(history.size() - 1).path("changes").asInt()).isEqualTo(1);
+    assertThat(
+            get("https", base, "/api/v1/configuration/diff?before=" + first + "&after=" + last)
+                .contentUtf8())
+        .contains("queueLimit", "100", Integer.toString(100 + VERSIONS));
+    AggregatedHttpResponse rolledBack =
+        send(
+            HttpMethod.POST,
+            "/api/v1/configuration/rollback",
+            "{\"basedOn\":%d,\"version\":%d,\"reason\":\"r\"}".formatted(last, first));
+    assertThat(rolledBack.status().code()).isEqualTo(200);
+    assertThat(inForce().path("document").toString()).contains("\"queueLimit\":100}");
+  }
+
+  private static long put(String defaults) throws IOException {
+    AggregatedHttpResponse answer =
+        send(
+            HttpMethod.PUT,
+            "/api/v1/configuration",
+            "{\"basedOn\":%d,\"reason\":\"r\",\"document\":{\"defaults\":{%s}}}"
+                .formatted(inForce().path("version").asLong(), defaults));
+    assertThat(answer.status().code()).isEqualTo(200);
+    long version = json(answer).path("version").asLong();
+    await().atMost(START).until(() -> inForce().path("version").asLong() == version);
+    return version;
+  }
+
+  private static JsonNode inForce() throws IOException {
+    return json(get("https", base, "/api/v1/configuration"));
+  }
+
+  private static JsonNode json(AggregatedHttpResponse answer) throws IOException {
+    return MAPPER.readTree(answer.contentUtf8());
+  }
+
   private static AggregatedHttpResponse send(HttpMethod method, String path, String body) {
     return WebClient.builder("https://127.0.0.1:" + base)
         .factory(trusting)
--- a/state/src/main/java/org/vanillacove/state/cell/CellState.java
+++ b/state/src/main/java/org/vanillacove/state/cell/CellState.java
@@ -223,7 +223,7 @@
   }
 
   /** Returns the kept configuration versions as they are held, oldest first. */
-  List<ConfigurationDelta> configurationDeltas() {
+  public List<ConfigurationDelta> configurationDeltas() {
     return configurations.deltas();
   }
 
--- a/state/src/main/java/org/vanillacove/state/cell/ConfigurationHistory.java
+++ b/state/src/main/java/org/vanillacove/state/cell/ConfigurationHistory.java
@@ -6,6 +6,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /**
  * The configuration versions that are kept, each older one as a difference to the next newer one;
@@ -66,17 +67,24 @@
   /** Returns all versions with their documents, oldest first. */
   List<ConfigurationEntry> entries() {
     List<ConfigurationEntry> entries = new ArrayList<>();
-    if (newest.version() != 0) {
-      entries.add(newest);
-    }
-    Iterator<ConfigurationDelta> back = older.descendingIterator();
-    while (back.hasNext()) {
-      entries.add(back.next().against(entries.getLast().document()));
-    }
+    visit(deltas(), entries::add);
     Collections.reverse(entries);
     return entries;
   }
 
+  /**
+   * Hands the versions that {@link CellState#configurationDeltas} gave to {@code visitor}, newest
+   * first; only one document is held at a time.
+   */
+  public static void visit(List<ConfigurationDelta> deltas, Consumer<ConfigurationEntry> visitor) {
+    String newer = "";
+    for (ConfigurationDelta delta : deltas.reversed()) {
+      ConfigurationEntry entry = delta.against(newer);
+      visitor.accept(entry);
+      newer = entry.document();
+    }
+  }
+
   /** Returns all versions as they are held, oldest first and the newest whole. */
   List<ConfigurationDelta> deltas() {
     List<ConfigurationDelta> deltas = new ArrayList<>(older);
--- a/transport/src/main/java/org/vanillacove/transport/operator/ConfigurationResource.java
+++ b/transport/src/main/java/org/vanillacove/transport/operator/ConfigurationResource.java
@@ -9,14 +9,11 @@
 import com.linecorp.armeria.server.annotation.Post;
 import com.linecorp.armeria.server.annotation.Put;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.vanillacove.coordination.api.CellView.ConfigurationVersion;
 import org.vanillacove.coordination.configuration.ConfigurationService;
 import org.vanillacove.coordination.configuration.InForceReport;
-import org.vanillacove.protocol.configuration.ConfigurationText;
 import org.vanillacove.protocol.document.DocumentOutcome;
 import org.vanillacove.protocol.document.DocumentReader;
 import org.vanillacove.transport.operator.message.ConfigurationMessage;
@@ -93,17 +90,13 @@
 
   @Get("/configuration/history")
   public HttpResponse history() {
-    List<VersionMessage> versions = new ArrayList<>();
-    String before = ConfigurationText.EMPTY;
-    for (ConfigurationVersion kept : service.history()) {
-      versions.add(
-          new VersionMessage(
-              kept.version(),
-              kept.author(),
-              kept.reason(),
-              ConfigurationText.diff(before, kept.document()).size()));
-      before = kept.document();
-    }
+    List<VersionMessage> versions =
+        service.history().stream()
+            .map(
+                kept ->
+                    new VersionMessage(
+                        kept.version(), kept.author(), kept.reason(), kept.changes()))
+            .toList();
     return Responses.ok(new HistoryMessage(versions));
   }
 
