Give a token back to a host that had forgotten a newer term of it

Cause: a host that loses its place forgets its tokens and counts that as a step of the term. The host that then took the token over began from its own, older term, and the transfer back was refused as old. The sender thought the token was passed on and never said that it does not hold it, so the backend server got no requests until the membership changed. Change: a claim to tokens (SlotAcquire) carries the newest term that its sender knows; a token is passed on with a higher one, and a transfer that the claimant must already have had does not count as on its way.

Tests: EntryHostFaultTest over sockets, token moves there and back under 60 requests, each run once, never more than 8 at once; keys that ran are not run again after their keeper's death. SlotLedgerTest: a host left out three times gets its token back. Open: a leaving host's transfer does not know the receiver's term; if refused, the takeover after the leave mends it.

--- a/coordination/src/main/java/org/vanillacove/coordination/routing/BackendSlots.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/BackendSlots.java
@@ -169,15 +169,28 @@
     return unused;
   }
 
-  /** Gives the token away; slots in use here become loans named by {@code loanOf}. */
+  /** Returns the newest term of the token that this host knows. */
+  synchronized long term() {
+    return term;
+  }
+
+  /**
+   * Gives the token away; slots in use here become loans named by {@code loanOf}.
+   *
+   * @param knownTerm newest term that the receiver knows, which takes no older one
+   */
   synchronized Optional<SlotTransfer> passOn(
-      String receiver, long process, long nowMillis, Function<SlotHold, SlotLoan> loanOf) {
+      String receiver,
+      long process,
+      long knownTerm,
+      long nowMillis,
+      Function<SlotHold, SlotLoan> loanOf) {
     if (!held) {
       return Optional.empty();
     }
     expire(nowMillis);
-    SlotTransfer.Builder transfer =
-        SlotTransfer.newBuilder().setBackendId(backendId).setTerm(term + 1);
+    term = Math.max(term, knownTerm) + 1;
+    SlotTransfer.Builder transfer = SlotTransfer.newBuilder().setBackendId(backendId).setTerm(term);
     ownUse.forEach(hold -> transfer.addLoans(loanOf.apply(hold)));
     lent.forEach((loanId, loan) -> transfer.addLoans(loanMessage(loanId, loan, nowMillis)));
     limbo.forEach(until -> transfer.addLimboMillis(until - nowMillis));
@@ -185,7 +198,6 @@
     lent.clear();
     limbo.clear();
     held = false;
-    term++;
     passedOn = new PassedOn(receiver, process, transfer.build());
     return Optional.of(passedOn.transfer());
   }
--- a/coordination/src/main/java/org/vanillacove/coordination/routing/SlotLedger.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/SlotLedger.java
@@ -221,9 +221,9 @@
   }
 
   /** Gives a token away; slots in use here go on as loans. */
-  Optional<SlotTransfer> passOn(String backendId, String receiver, long process) {
+  Optional<SlotTransfer> passOn(String backendId, String receiver, long process, long knownTerm) {
     return shard(backendId)
-        .passOn(receiver, process, now(), hold -> convert(hold, backendId, receiver));
+        .passOn(receiver, process, knownTerm, now(), hold -> convert(hold, backendId, receiver));
   }
 
   /** Takes a token that a peer passed on. */
@@ -256,7 +256,7 @@
         membership.agreedHosts().stream()
             .anyMatch(host -> host.id().equals(membership.self().id()));
     if (now - seen > timing.marginMillis() || !agreed) {
-      heldTokens().forEach(backendId -> passOn(backendId, "", 0));
+      heldTokens().forEach(backendId -> passOn(backendId, "", 0, 0));
     }
     if (standing) {
       standingSeenMillis.accumulateAndGet(now, Math::max);
--- a/coordination/src/main/java/org/vanillacove/coordination/routing/SlotTokens.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/routing/SlotTokens.java
@@ -142,7 +142,7 @@
     for (String backendId : ledger.heldTokens()) {
       Optional<String> next = owners.owner(backendId, left).or(() -> anyOf(left));
       Optional<SlotTransfer> transfer =
-          next.flatMap(receiver -> ledger.passOn(backendId, receiver, 0));
+          next.flatMap(receiver -> ledger.passOn(backendId, receiver, 0, 0));
       transfer.ifPresent(message -> sent.add(send(next.get(), message, HAND_OVER_TRIES)));
     }
     return CompletableFuture.allOf(sent.toArray(CompletableFuture[]::new))
@@ -193,7 +193,10 @@
   }
 
   private void ask(String peer, List<String> wanted) {
-    SlotAcquire body = SlotAcquire.newBuilder().addAllBackendIds(wanted).build();
+    SlotAcquire.Builder body = SlotAcquire.newBuilder();
+    for (String backendId : wanted) {
+      body.addBackendIds(backendId).addTerms(ledger.shard(backendId).term());
+    }
     ByteString message = ledger.message().setAcquire(body).build().toByteString();
     link.call(peer, PeerChannel.SLOT, message, CALL_DEADLINE)
         .whenComplete(
@@ -329,16 +332,19 @@
       return reply.build();
     }
     long process = message.getIncarnation();
-    for (String backendId : message.getAcquire().getBackendIdsList()) {
+    SlotAcquire body = message.getAcquire();
+    for (int i = 0; i < body.getBackendIdsCount(); i++) {
+      String backendId = body.getBackendIds(i);
+      long known = i < body.getTermsCount() ? body.getTerms(i) : 0;
       BackendSlots shard = ledger.shard(backendId);
       Optional<BackendSlots.PassedOn> passed = shard.passedOn();
       if (shard.isHeld()) {
         if (isNext(backendId, from)) {
-          ledger.passOn(backendId, from, process).ifPresent(reply::addTransfers);
+          ledger.passOn(backendId, from, process, known).ifPresent(reply::addTransfers);
         }
-      } else if (passed.isPresent() && isSame(passed.get(), from, process)) {
+      } else if (passed.filter(each -> isOnItsWay(each, from, process, known)).isPresent()) {
         reply.addTransfers(passed.get().transfer());
-      } else if (passed.filter(this::isWithMember).isEmpty()) {
+      } else if (passed.filter(each -> isWithOther(each, from, process)).isEmpty()) {
         long until = timer.monotonicMillis() + 2 * timing.lapseMillis();
         shard.promise(from, until, ledger.view());
         reply.addNotHeld(backendId).addAllBorrowed(ledger.borrowed(backendId));
@@ -354,8 +360,15 @@
     return owners.owner(backendId, membership.agreedHosts()).equals(Optional.of(host));
   }
 
-  private boolean isWithMember(BackendSlots.PassedOn passed) {
-    return ledger.peerIds().contains(passed.receiver());
+  /** Returns whether a process that asks for a token may not have got it yet. */
+  private static boolean isOnItsWay(
+      BackendSlots.PassedOn passed, String host, long process, long known) {
+    return isSame(passed, host, process) && passed.transfer().getTerm() > known;
+  }
+
+  /** Returns whether a token went to an agreed host, unless that process itself asks for it. */
+  private boolean isWithOther(BackendSlots.PassedOn passed, String host, long process) {
+    return !isSame(passed, host, process) && ledger.peerIds().contains(passed.receiver());
   }
 
   private static boolean isSame(BackendSlots.PassedOn passed, String host, long process) {
--- a/coordination/src/test/java/org/vanillacove/coordination/routing/SlotLedgerTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/routing/SlotLedgerTest.java
@@ -51,6 +51,24 @@
     assertThat(world.peak).isEqualTo(8);
   }
 
+  @Test
+  void hostThatWasLeftOutGetsItsTokenBackEachTime() {
+    World world = new World(3, 1);
+    world.timer.advance(1_000);
+    World.Host first = world.holder();
+    List<HostSpec> without =
+        world.specs.stream().filter(spec -> !spec.id().equals(first.id())).toList();
+    for (int i = 0; i < 3; i++) {
+      world.hosts.values().forEach(host -> host.membership.setHosts(without));
+      world.timer.advance(1_500);
+      assertThat(world.holder().id()).isNotEqualTo(first.id());
+
+      world.hosts.values().forEach(host -> host.membership.setHosts(world.specs));
+      world.timer.advance(1_500);
+      assertThat(world.holder().id()).isEqualTo(first.id());
+    }
+  }
+
   @Test
   void killedHolderIsReplacedOnceItsRequestsMustHaveEnded() {
     World world = new World(2, 1);
--- a/transport/src/test/java/org/vanillacove/transport/guest/EntryHostFaultTest.java
+++ b/transport/src/test/java/org/vanillacove/transport/guest/EntryHostFaultTest.java
@@ -62,6 +62,63 @@
     assertThat(first.overflows() + second.overflows()).isZero();
   }
 
+  @Test
+  void tokenMovesWithRequestsInFlightWithoutOverflow() {
+    EntryCell.Host holder = holderOf(first);
+    List<HostSpec> all = holder.membership.agreedHosts();
+    List<HostSpec> without =
+        all.stream().filter(spec -> !spec.equals(holder.membership.self())).toList();
+    List<CompletableFuture<AggregatedHttpResponse>> answers = requests(holder, 20, 200);
+    EntryCell.Host other =
+        cell.hosts().stream().filter(host -> host != holder).findFirst().orElseThrow();
+    answers.addAll(requests(other, 20, 200));
+    await().until(() -> first.running() == 8);
+
+    cell.hosts().forEach(host -> host.membership.setHosts(without));
+    await().until(() -> !holder.holds(first.listed()));
+    await().until(() -> holderOf(first).holds(first.listed()));
+    answers.addAll(requests(other, 20, 50));
+    cell.hosts().forEach(host -> host.membership.setHosts(all));
+    await().until(() -> holder.holds(first.listed()));
+
+    assertThat(answers).allMatch(each -> each.join().status().code() == 200);
+    assertThat(first.runCount() + second.runCount()).isEqualTo(60);
+    assertThat(first.overflows() + second.overflows()).isZero();
+    assertThat(first.peak()).isEqualTo(8);
+  }
+
+  @Test
+  void keyThatRanIsNeverRunAgainAfterItsOwnersDeath() {
+    for (EntryCell.Host owner : cell.hosts()) {
+      String[] key = {GuestHeaders.KEY.toString(), "order-" + owner.membership.self().id()};
+      cell.host(1).post("/work", "x", key).join();
+    }
+    int before = first.runCount() + second.runCount();
+    EntryCell.Host killed = cell.host(3);
+    killed.kill();
+    List<HostSpec> left =
+        killed.membership.agreedHosts().stream()
+            .filter(spec -> !spec.equals(killed.membership.self()))
+            .toList();
+    cell.hosts().forEach(host -> host.membership.setHosts(left));
+
+    for (EntryCell.Host owner : cell.hosts()) {
+      AggregatedHttpResponse again =
+          cell.host(2)
+              .post(
+                  "/work",
+                  "x",
+                  GuestHeaders.KEY.toString(),
+                  "order-" + owner.membership.self().id(),
+                  GuestHeaders.REPEATED.toString(),
+                  "true")
+              .join();
+      assertThat(again.status().code()).isEqualTo(409);
+      assertThat(again.headers().get(GuestHeaders.OUTCOME)).isEqualTo(GuestHeaders.RUN);
+    }
+    assertThat(first.runCount() + second.runCount()).isEqualTo(before);
+  }
+
   @Test
   void silentPeerLinkLeavesOwnSlotsInUse() {
     for (EntryCell.Host from : cell.hosts()) {
