Show accepted and cancelled jobs and configurations in the time line

Cause: the time line had nothing of what callers changed, so the report's curve of waiting tasks had no input.

Change: the leader records job-accepted ("N tasks of job ..."), job-cancelled, configuration-accepted, worker-changed and domain-declared-lost as it folds the records that counted. A job that is submitted again under its identifier shows once. What is folded while no host leads is not in the time line.

Tests: jobThatIsSubmittedTwiceShowsOnceInTheTimeLine in CellNodeTest is new.

Ruled out: recording on every host, which would show each change nine times.

--- a/coordination/src/main/java/org/vanillacove/coordination/scheduling/LeaderScheduler.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/scheduling/LeaderScheduler.java
@@ -102,7 +102,7 @@
       shard.execute(
           () ->
               term.filter(current -> offset >= current.builtThrough())
-                  .ifPresent(current -> current.folded(envelope.record())));
+                  .ifPresent(current -> current.folded(offset, envelope.record())));
     }
   }
 
--- a/coordination/src/main/java/org/vanillacove/coordination/scheduling/LeaderTerm.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/scheduling/LeaderTerm.java
@@ -43,6 +43,9 @@
   /** Compares what workers say with what should run. */
   private final InventoryCheck inventories;
 
+  /** Puts changes into the time line. */
+  private final RecordEvents events;
+
   /** Offset through which the placer was built from the state. */
   private final long builtThrough;
 
@@ -84,6 +87,7 @@
             stopper,
             (worker, reply) -> inventories().takeAttempts(worker, reply.tasks()));
     inventories = new InventoryCheck(term, recorder, stopper, starter);
+    events = new RecordEvents(context.store(), context.timeline());
     TermLoader loader = new TermLoader(term, watcher);
     builtThrough = context.store().read(loader::load);
     watcher.start();
@@ -140,7 +144,8 @@
   }
 
   /** Takes note of a folded record that counted. */
-  void folded(CellRecord record) {
+  void folded(long offset, CellRecord record) {
+    events.folded(offset, record);
     switch (record) {
       case CellRecord.JobAccepted accepted ->
           term.placer().submit(accepted.jobId(), accepted.spec(), term.now());
--- a/coordination/src/test/java/org/vanillacove/coordination/cell/CellNodeTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/cell/CellNodeTest.java
@@ -95,6 +95,18 @@
     assertThat(left).isCompleted();
   }
 
+  @Test
+  void jobThatIsSubmittedTwiceShowsOnceInTheTimeLine() {
+    TestCell cell = new TestCell(3, 3);
+    cell.settle();
+    for (int i = 0; i < 2; i++) {
+      submit(cell, RerunPolicy.RERUN, LossPolicy.MOVE);
+      cell.seconds(2);
+    }
+
+    assertThat(cell.events).filteredOn(event -> event.contains("job-accepted")).hasSize(1);
+  }
+
   private static CompletableFuture<ProposalOutcome> submit(
       TestCell cell, RerunPolicy rerun, LossPolicy loss) {
     return cell.node()
