Lose regions, drift clocks and cut workers off one host in the fault schedules

Cause: the random schedules had no declaration of a lost domain, no drift of clocks and no worker that only one host, the leader or its session's holder, cannot reach.

Change: all clocks of hosts and workers drift by up to 2.5 %, less than the drift margin over a standing time and a lease for any two; a region may be lost with all that runs there, declared lost, and come back empty once all living hosts have folded the declaration (RegionLoss); a worker may be cut off from one host.

Besides, the reply to a start whose attempt had ended meanwhile left the number of unrecorded starts too high for good, so a leader could not drain.

--- a/bench/src/main/java/org/vanillacove/bench/faults/FaultSchedule.java
+++ b/bench/src/main/java/org/vanillacove/bench/faults/FaultSchedule.java
@@ -52,6 +52,9 @@
   /** Checks of the cell. */
   private final InvariantCheck check;
 
+  /** The loss of a region. */
+  private final RegionLoss loss;
+
   /** Ends of faults that last. */
   private final List<Runnable> heals = new ArrayList<>();
 
@@ -65,8 +68,9 @@
   public FaultSchedule(long seed, SafetyRules rules) {
     random = new Well19937c(seed);
     int hostCount = 3 + random.nextInt(3);
-    cell = new FaultyCell(hostCount, 4, rules, this::planEnd);
+    cell = new FaultyCell(hostCount, 4, rules, this::planEnd, random);
     check = new InvariantCheck(cell);
+    loss = new RegionLoss(cell, random);
   }
 
   /** Runs the schedule and returns the violation found, empty if there is none. */
@@ -103,7 +107,7 @@
   }
 
   private void act() {
-    switch (random.nextInt(17)) {
+    switch (random.nextInt(19)) {
       case 0, 1, 2, 3 -> submit();
       case 4 -> cancel();
       case 5 -> configure();
@@ -117,6 +121,8 @@
       case 13 -> cutWorker();
       case 14 -> rebootWorker();
       case 15 -> trimLog();
+      case 16 -> cutWorkerFromHost();
+      case 17 -> loseRegion();
       default -> strike();
     }
   }
@@ -202,7 +208,7 @@
   }
 
   private void startHost(String hostId) {
-    if (!cell.nodes.containsKey(hostId)) {
+    if (!cell.nodes.containsKey(hostId) && !loss.hasLostHost(hostId)) {
       cell.start(hostId);
     }
   }
@@ -282,10 +288,31 @@
         500 + random.nextInt(LONGEST_FAULT_MILLIS),
         () -> {
           cell.gateway.setLosingReplies(workerId, false);
-          cell.gateway.setCutOff(workerId, false);
+          cell.gateway.setCutOff(workerId, loss.hasLostWorker(workerId));
         });
   }
 
+  /** Cuts a worker off from one host, which may be the leader or the holder of its session. */
+  private void cutWorkerFromHost() {
+    String hostId = randomHost();
+    String workerId = "w" + random.nextInt(cell.workers.size());
+    FaultyHost process = cell.processes.get(hostId);
+    if (process != null) {
+      tell("cut " + workerId + " from " + hostId);
+      process.setWorkerCut(workerId, true);
+      healLater(
+          500 + random.nextInt(LONGEST_FAULT_MILLIS), () -> process.setWorkerCut(workerId, false));
+    }
+  }
+
+  private void loseRegion() {
+    String region = "region-" + random.nextInt(FaultyCell.REGIONS);
+    if (!loss.isActive()) {
+      tell("lose " + region);
+      loss.lose(region);
+    }
+  }
+
   private void rebootWorker() {
     String workerId = "w" + random.nextInt(cell.workers.size());
     tell("reboot " + workerId);
--- a/bench/src/main/java/org/vanillacove/bench/faults/FaultyCell.java
+++ b/bench/src/main/java/org/vanillacove/bench/faults/FaultyCell.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import org.apache.commons.math3.random.RandomGenerator;
 import org.vanillacove.coordination.api.CellTimings;
 import org.vanillacove.coordination.cell.CellNode;
 import org.vanillacove.coordination.scheduling.SafetyRules;
@@ -43,6 +44,12 @@
   /** Regions of the cell. */
   static final int REGIONS = 2;
 
+  /**
+   * Largest drift of a clock in thousandths; two clocks that drift apart differ over standing and
+   * lease by less than the drift margin.
+   */
+  private static final int MAX_DRIFT_PER_MILLE = 25;
+
   /** One-way delay of calls to log and workers in milliseconds. */
   private static final long CALL_DELAY_MILLIS = 5;
 
@@ -76,20 +83,29 @@
   /** Whether a node's configuration went back. */
   private Optional<String> wentBack = Optional.empty();
 
+  /** Clocks of the hosts, which drift. */
+  private final Map<String, DriftingTimer> hostClocks = new TreeMap<>();
+
   /** Rules in force. */
   private final SafetyRules rules;
 
-  FaultyCell(int hostCount, int workerCount, SafetyRules rules, WorkerModel.RunPlan plan) {
+  FaultyCell(
+      int hostCount,
+      int workerCount,
+      SafetyRules rules,
+      WorkerModel.RunPlan plan,
+      RandomGenerator random) {
     this.rules = rules;
     for (int i = 0; i < hostCount; i++) {
       hosts.add(new HostSpec("h" + i, "127.0.0.1:" + (7_000 + i), zone(i)));
+      hostClocks.put("h" + i, drifting(random));
     }
     for (int i = 0; i < workerCount; i++) {
       Resources capacity = new Resources(4_000, 8_192, 0);
       WorkerSpec spec =
           new WorkerSpec(
               "w" + i, "127.0.0.1:1", zone(i), "r" + i, capacity, Optional.empty(), Map.of());
-      WorkerModel worker = new WorkerModel(spec, clock, plan);
+      WorkerModel worker = new WorkerModel(spec, drifting(random), plan);
       workers.put(spec.id(), worker);
       gateway.add(worker);
     }
@@ -103,7 +119,8 @@
   void start(String hostId) {
     HostSpec self = hosts.stream().filter(h -> h.id().equals(hostId)).findFirst().orElseThrow();
     FaultyHost process =
-        new FaultyHost(clock, log, gateway, network.link(hostId), CALL_DELAY_MILLIS);
+        new FaultyHost(
+            clock, hostClocks.get(hostId), log, gateway, network.link(hostId), CALL_DELAY_MILLIS);
     CellNode node =
         new CellNode(
             self,
@@ -142,6 +159,11 @@
     return wentBack;
   }
 
+  private DriftingTimer drifting(RandomGenerator random) {
+    return new DriftingTimer(
+        clock, random.nextInt(2 * MAX_DRIFT_PER_MILLE + 1) - MAX_DRIFT_PER_MILLE);
+  }
+
   private void noteVersion(String hostId, long version) {
     Long last = versions.put(hostId, version);
     if (last != null && version < last) {
--- a/bench/src/main/java/org/vanillacove/bench/faults/FaultyHost.java
+++ b/bench/src/main/java/org/vanillacove/bench/faults/FaultyHost.java
@@ -32,6 +32,9 @@
   /** Source of time of the schedule. */
   private final ManualTimerService clock;
 
+  /** Clock of the host, which drifts. */
+  private final TimerService hostClock;
+
   /** The log that all hosts share. */
   private final PlatformLog sharedLog;
 
@@ -61,11 +64,13 @@
 
   FaultyHost(
       ManualTimerService clock,
+      TimerService hostClock,
       PlatformLog sharedLog,
       WorkerGateway sharedGateway,
       PeerLink sharedLink,
       long delayMillis) {
     this.clock = clock;
+    this.hostClock = hostClock;
     this.sharedLog = sharedLog;
     this.sharedGateway = sharedGateway;
     this.sharedLink = sharedLink;
@@ -149,22 +154,22 @@
   private final class ProcessTimer implements TimerService {
     @Override
     public long monotonicMillis() {
-      return clock.monotonicMillis();
+      return hostClock.monotonicMillis();
     }
 
     @Override
     public long wallMillis() {
-      return clock.wallMillis();
+      return hostClock.wallMillis();
     }
 
     @Override
     public Subscription after(Duration delay, Runnable action) {
-      return clock.after(delay, () -> run(action));
+      return hostClock.after(delay, () -> run(action));
     }
 
     @Override
     public Subscription every(Duration period, Runnable action) {
-      return clock.every(period, () -> runOnce(action));
+      return hostClock.every(period, () -> runOnce(action));
     }
 
     private void runOnce(Runnable action) {
--- a/bench/src/test/java/org/vanillacove/bench/faults/FaultScheduleTest.java
+++ b/bench/src/test/java/org/vanillacove/bench/faults/FaultScheduleTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.vanillacove.coordination.scheduling.SafetyRules;
 
 /** Tests the cell under {@link FaultSchedule}. */
@@ -33,6 +34,13 @@
     assertThat(violations).isEmpty();
   }
 
+  /** Schedules in which a task was left waiting after its region had been declared lost. */
+  @ParameterizedTest
+  @ValueSource(longs = {10_005_226, 10_008_597})
+  void scheduleThatOnceViolatedAnInvariantHolds(long seed) {
+    assertThat(new FaultSchedule(seed, SafetyRules.ALL).run()).isEmpty();
+  }
+
   @ParameterizedTest
   @CsvSource({"false,true,true", "true,false,true", "true,true,false"})
   void schedulesNoticeMissingRule(boolean fencing, boolean lapseCertainty, boolean writeAhead) {
--- a/coordination/src/main/java/org/vanillacove/coordination/scheduling/TaskStarter.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/scheduling/TaskStarter.java
@@ -187,7 +187,11 @@
   }
 
   private void commanded(TaskEntry entry, int attempt, boolean recorded, WorkerReply reply) {
-    if (term.isOver() || !entry.isOn(entry.workerId(), attempt)) {
+    if (term.isOver()) {
+      return;
+    }
+    if (!entry.isOn(entry.workerId(), attempt)) {
+      unrecorded -= recorded ? 0 : 1;
       return;
     }
     boolean mayRun = reply instanceof WorkerReply.Done || reply instanceof WorkerReply.Unknown;
--- a/coordination/src/main/java/org/vanillacove/coordination/scheduling/WorkerChanges.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/scheduling/WorkerChanges.java
@@ -65,12 +65,26 @@
   private void lose(String workerId) {
     watcher.remove(workerId);
     for (TaskEntry entry : term.ledger().onWorker(workerId)) {
-      boolean once = entry.spec().rerun() == RerunPolicy.AT_MOST_ONCE;
-      TaskOutcome outcome = once ? TaskOutcome.UNKNOWN : TaskOutcome.LOST;
+      TaskOutcome outcome = outcomeOnLoss(entry);
       term.ledger().leaveWorker(entry);
       entry.end(outcome, term.isCancelled(entry.id().jobId()));
       term.release(entry.id(), outcome);
       term.ledger().dropIfIdle(entry);
     }
   }
+
+  /** Returns how the fold ended an attempt, or that it never ran if only its record was sent. */
+  private TaskOutcome outcomeOnLoss(TaskEntry entry) {
+    if (entry.spec().rerun() != RerunPolicy.AT_MOST_ONCE) {
+      return TaskOutcome.LOST;
+    }
+    boolean recorded =
+        term.context()
+            .store()
+            .read(state -> state.task(entry.id()))
+            .map(task -> task.attempt() >= entry.attempt())
+            .orElse(true);
+    boolean sent = entry.phase() == TaskEntry.Phase.RUNNING;
+    return recorded || sent ? TaskOutcome.UNKNOWN : TaskOutcome.NOT_RUN;
+  }
 }
