--- a/state/src/main/java/org/vanillacove/state/placement/Reservations.java
+++ b/state/src/main/java/org/vanillacove/state/placement/Reservations.java
@@ -9,7 +9,7 @@
   /** Reservations in force at once. */
   private static final int MAX_RESERVATIONS = 4;
 
-  /** Part of the workers that reservations after the first may fence, as a divisor. */
+  /** Part of the workers that may be fenced once a gang has a reservation, as a divisor. */
   private static final int MAX_FENCED_PART = 4;
 
   /** Workers of the cell. */
@@ -39,9 +39,9 @@
 
   /** Puts a reservation in force if it does not fence too many workers. */
   boolean add(Reservation reservation) {
-    int fenced = active.stream().mapToInt(r -> r.workers().size()).sum();
+    int fenced = active.stream().filter(r -> r.count() > 1).mapToInt(r -> r.workers().size()).sum();
     int limit = workers.all().size() / MAX_FENCED_PART;
-    if (!hasRoom() || (!active.isEmpty() && fenced + reservation.workers().size() > limit)) {
+    if (!hasRoom() || (fenced > 0 && fenced + reservation.workers().size() > limit)) {
       return false;
     }
     active.add(reservation);
--- a/state/src/main/java/org/vanillacove/state/placement/RoomMaker.java
+++ b/state/src/main/java/org/vanillacove/state/placement/RoomMaker.java
@@ -11,6 +11,9 @@
 
 /** Makes room for jobs by stopping others, a whole job's worth or none. */
 final class RoomMaker {
+  /** Part of an owner's wait that stopping others may cost them in lost work, as a divisor. */
+  private static final long LOST_WORK_PART = 10;
+
   /** What is known. */
   private final PlacementState state;
 
@@ -43,7 +46,18 @@
       return false;
     }
     PriorityClass own = job.spec().priority();
-    return makeRoom(job, key, t -> mayStop(t) && yields(t, own), nowMillis, limit, decisions);
+    long mayLoseMillis = (nowMillis - job.submittedAtMillis()) / LOST_WORK_PART;
+    return makeRoom(
+        job,
+        key,
+        t -> mayStop(t) && yields(t, own) && lostMillis(t, nowMillis) <= mayLoseMillis,
+        nowMillis,
+        limit,
+        decisions);
+  }
+
+  private static long lostMillis(RunningTask task, long nowMillis) {
+    return task.job().spec().checkpointable() ? 0 : nowMillis - task.startedAtMillis();
   }
 
   private boolean yields(RunningTask task, PriorityClass own) {
