Record automatic quarantines with their reason and keep them over a takeover

Cause: the quarantine of a worker that failed unlike jobs was known to the leader's placer only: not in the stream, not in worker list, and gone with the leader. An operator's activation ends a quarantine; an operator's quarantine is left alone. Tests: a quarantine is shown, outlives the leader and ends in probation; an operator's word counts more. Conclusion: estimates, past shares and preemption counts are still lost at a takeover.

--- a/cli/src/main/java/org/vanillacove/cli/CellCommands.java
+++ b/cli/src/main/java/org/vanillacove/cli/CellCommands.java
@@ -24,7 +24,8 @@
     }
 
     private static void print(CommandContext context, List<WorkerMessage> workers) {
-      Table table = new Table("ID", "ZONE", "RACK", "STATUS", "TASKS", "CPU", "MEMORY", "ACC");
+      Table table =
+          new Table("ID", "ZONE", "RACK", "STATUS", "TASKS", "CPU", "MEMORY", "ACC", "REASON");
       for (WorkerMessage worker : workers) {
         table.add(
             worker.workerId(),
@@ -34,7 +35,8 @@
             worker.runningTasks(),
             worker.committed().cpuMillis() + "/" + worker.capacity().cpuMillis(),
             worker.committed().memoryMib() + "/" + worker.capacity().memoryMib(),
-            worker.committed().accelerators() + "/" + worker.capacity().accelerators());
+            worker.committed().accelerators() + "/" + worker.capacity().accelerators(),
+            worker.reason());
       }
       table.print(context.environment().out());
     }
--- a/cli/src/test/java/org/vanillacove/cli/MemoryCell.java
+++ b/cli/src/test/java/org/vanillacove/cli/MemoryCell.java
@@ -48,7 +48,7 @@
               new Resources(64_000, 262_144, 4),
               Optional.of("a100"),
               Map.of());
-      workers.put(id, new CellView.WorkerView(spec, WorkerStatus.ACTIVE, Resources.NONE, 0));
+      workers.put(id, new CellView.WorkerView(spec, WorkerStatus.ACTIVE, "", Resources.NONE, 0));
     }
   }
 
@@ -148,7 +148,8 @@
             workers.computeIfPresent(
                 workerId,
                 (id, w) ->
-                    new CellView.WorkerView(w.spec(), status, w.committed(), w.runningTasks())));
+                    new CellView.WorkerView(
+                        w.spec(), status, reason, w.committed(), w.runningTasks())));
   }
 
   @Override
--- a/coordination/src/main/java/org/vanillacove/coordination/api/CellView.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/api/CellView.java
@@ -88,10 +88,12 @@
    *
    * @param spec the worker
    * @param status whether it takes new tasks
+   * @param reason why it has its status, empty if nobody said
    * @param committed resources committed to running tasks
    * @param runningTasks number of running tasks
    */
-  record WorkerView(WorkerSpec spec, WorkerStatus status, Resources committed, int runningTasks) {}
+  record WorkerView(
+      WorkerSpec spec, WorkerStatus status, String reason, Resources committed, int runningTasks) {}
 
   /**
    * State of the cell as a whole.
--- a/coordination/src/main/java/org/vanillacove/coordination/cell/FoldedView.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/cell/FoldedView.java
@@ -67,6 +67,7 @@
                         new WorkerView(
                             worker.spec(),
                             worker.status(),
+                            worker.reason(),
                             worker.committed(),
                             worker.running().size()))
                 .toList());
--- a/coordination/src/main/java/org/vanillacove/coordination/scheduling/LeaderTerm.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/scheduling/LeaderTerm.java
@@ -65,6 +65,9 @@
   /** Contact with workers. */
   private final WorkerWatcher watcher;
 
+  /** Records quarantines. */
+  private final QuarantineRecorder quarantines;
+
   /** Placed tasks that an unknown worker could still run. */
   private final Set<TaskEntry> held = new HashSet<>();
 
@@ -95,6 +98,7 @@
     this.placer.configure(settings);
     this.watcher =
         new WorkerWatcher(context, shard, epoch, this::reconcile, this::lapsed, this::applyStatus);
+    this.quarantines = new QuarantineRecorder(context, shard, epoch, placer);
     context.store().read(this::build);
     watcher.start();
   }
@@ -150,6 +154,7 @@
   /** Does slower checks: lapses, held tasks, stops without an answer. */
   void maintain() {
     watcher.maintain();
+    quarantines.tick();
     for (TaskEntry entry : new ArrayList<>(held)) {
       resume(entry);
     }
@@ -171,7 +176,10 @@
         watcher.add(joined.worker());
         applyStatus(joined.worker().id());
       }
-      case CellRecord.WorkerChanged changed -> changeWorker(changed.workerId(), changed.status());
+      case CellRecord.WorkerChanged changed -> {
+        quarantines.folded(changed);
+        changeWorker(changed.workerId(), changed.status());
+      }
       case CellRecord.DomainDeclaredLost lost -> loseDomain(lost);
       default -> {}
     }
@@ -217,6 +225,7 @@
                 watcher.add(worker.spec());
               }
             });
+    quarantines.load(state, now());
     ledger.load(state);
     for (JobState job : state.jobs()) {
       if (!job.isSettled()) {
--- a/coordination/src/test/java/org/vanillacove/coordination/cell/TestCell.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/cell/TestCell.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.vanillacove.coordination.api.CellTimings;
 import org.vanillacove.standin.memory.ManualTimerService;
 import org.vanillacove.standin.memory.MemoryLog;
@@ -19,6 +20,7 @@
 import org.vanillacove.state.api.JobSpec;
 import org.vanillacove.state.api.LossPolicy;
 import org.vanillacove.state.api.PlacementConstraints;
+import org.vanillacove.state.api.Placer;
 import org.vanillacove.state.api.PriorityClass;
 import org.vanillacove.state.api.RerunPolicy;
 import org.vanillacove.state.api.Resources;
@@ -39,8 +41,14 @@
   final Map<String, WorkerModel.PlannedEnd> ends = new HashMap<>();
   final List<String> events = new ArrayList<>();
   private final List<HostSpec> seeds = new ArrayList<>();
+  private final Supplier<Placer> placers;
 
   TestCell(int hosts, int workerCount) {
+    this(hosts, workerCount, FirstFitPlacer::new);
+  }
+
+  TestCell(int hosts, int workerCount, Supplier<Placer> placers) {
+    this.placers = placers;
     for (int i = 0; i < hosts; i++) {
       seeds.add(host(i));
     }
@@ -102,7 +110,7 @@
             network.link(id),
             timer,
             (kind, subject, text) -> record(id, kind, subject, text),
-            FirstFitPlacer::new,
+            placers,
             CellTimings.DEFAULTS);
     nodes.put(id, node);
     node.start();
--- a/protocol/src/main/java/org/vanillacove/protocol/record/SnapshotCodec.java
+++ b/protocol/src/main/java/org/vanillacove/protocol/record/SnapshotCodec.java
@@ -94,7 +94,8 @@
       builder.addWorkers(
           WorkerStateMessage.newBuilder()
               .setSpec(SpecCodec.toMessage(worker.spec()))
-              .setStatus(SpecCodec.number(worker.status())));
+              .setStatus(SpecCodec.number(worker.status()))
+              .setReason(worker.reason()));
     }
     snapshot.jobs().forEach(job -> builder.addJobs(toMessage(job, positions)));
     snapshot.hosts().forEach(host -> builder.addHosts(SpecCodec.toMessage(host)));
@@ -145,7 +146,8 @@
       workers.add(
           new CellSnapshot.Worker(
               SpecCodec.fromMessage(worker.getSpec()),
-              SpecCodec.constant(WorkerStatus.values(), worker.getStatus())));
+              SpecCodec.constant(WorkerStatus.values(), worker.getStatus()),
+              worker.getReason()));
     }
     Map<String, WriterPosition> writers = new LinkedHashMap<>();
     for (WriterMessage writer : message.getWritersList()) {
--- a/state/src/main/java/org/vanillacove/state/api/Placer.java
+++ b/state/src/main/java/org/vanillacove/state/api/Placer.java
@@ -39,6 +39,17 @@
   /** Decides at most {@code limit} starts and preemptions and commits capacity for them. */
   List<PlacementDecision> decide(long nowMillis, int limit);
 
+  /** Returns the workers that failures have put in quarantine or on probation. */
+  default List<WorkerHealth> unhealthyWorkers() {
+    return List.of();
+  }
+
+  /** Puts a worker in quarantine or on probation anew, for rebuilding from a folded state. */
+  default void restoreHealth(WorkerHealth health, long nowMillis) {}
+
+  /** Forgets failures of a worker that an operator has put to use. */
+  default void trust(String workerId) {}
+
   /** Explains why a job waits, empty if none of its tasks does. */
   Optional<WaitReason> explain(String jobId, long nowMillis);
 }
--- a/state/src/main/java/org/vanillacove/state/cell/CellSnapshot.java
+++ b/state/src/main/java/org/vanillacove/state/cell/CellSnapshot.java
@@ -56,6 +56,7 @@
    *
    * @param spec the worker
    * @param status whether it takes new tasks
+   * @param reason why it has its status, empty if nobody said
    */
-  public record Worker(WorkerSpec spec, WorkerStatus status) {}
+  public record Worker(WorkerSpec spec, WorkerStatus status, String reason) {}
 }
--- a/state/src/main/java/org/vanillacove/state/cell/CellState.java
+++ b/state/src/main/java/org/vanillacove/state/cell/CellState.java
@@ -81,7 +81,8 @@
     state.epoch = snapshot.epoch();
     state.leader = snapshot.leader();
     for (CellSnapshot.Worker worker : snapshot.workers()) {
-      state.workers.put(worker.spec().id(), new WorkerState(worker.spec(), worker.status()));
+      state.workers.put(
+          worker.spec().id(), new WorkerState(worker.spec(), worker.status(), worker.reason()));
     }
     snapshot.jobs().forEach(state::restoreJob);
     state.settledOrder.addAll(snapshot.settledOrder());
@@ -107,7 +108,7 @@
     }
     List<CellSnapshot.Worker> workerList =
         workers.values().stream()
-            .map(worker -> new CellSnapshot.Worker(worker.spec(), worker.status()))
+            .map(worker -> new CellSnapshot.Worker(worker.spec(), worker.status(), worker.reason()))
             .toList();
     return new CellSnapshot(
         nextOffset,
@@ -359,7 +360,7 @@
   private FoldOutcome joinWorker(WorkerSpec spec) {
     WorkerState present = workers.get(spec.id());
     if (present == null) {
-      workers.put(spec.id(), new WorkerState(spec, WorkerStatus.ACTIVE));
+      workers.put(spec.id(), new WorkerState(spec, WorkerStatus.ACTIVE, ""));
       return applied();
     }
     if (!present.committed().fitsIn(spec.capacity())) {
@@ -367,7 +368,7 @@
     }
     present.setSpec(spec);
     if (present.status() == WorkerStatus.LOST) {
-      present.setStatus(WorkerStatus.ACTIVE);
+      present.setStatus(WorkerStatus.ACTIVE, "");
     }
     return applied();
   }
@@ -380,7 +381,7 @@
     if (changed.status() == WorkerStatus.LOST) {
       loseWorker(worker);
     }
-    worker.setStatus(changed.status());
+    worker.setStatus(changed.status(), changed.reason());
     return applied();
   }
 
@@ -421,7 +422,7 @@
       WorkerSpec spec = worker.spec();
       if (isIn(lost, spec.zone().region(), spec.zone().name())) {
         loseWorker(worker);
-        worker.setStatus(WorkerStatus.LOST);
+        worker.setStatus(WorkerStatus.LOST, lost.reason());
       }
     }
     hosts.values().removeIf(host -> isIn(lost, host.zone().region(), host.zone().name()));
--- a/state/src/main/java/org/vanillacove/state/cell/WorkerState.java
+++ b/state/src/main/java/org/vanillacove/state/cell/WorkerState.java
@@ -19,12 +19,16 @@
   /** Whether it takes new tasks. */
   private WorkerStatus status;
 
+  /** Why it has its status, empty if nobody said. */
+  private String reason;
+
   /** Resources committed to running tasks. */
   private Resources committed = Resources.NONE;
 
-  WorkerState(WorkerSpec spec, WorkerStatus status) {
+  WorkerState(WorkerSpec spec, WorkerStatus status, String reason) {
     this.spec = spec;
     this.status = status;
+    this.reason = reason;
   }
 
   /** Returns the worker. */
@@ -37,6 +41,11 @@
     return status;
   }
 
+  /** Returns why it has its status, empty if nobody said. */
+  public String reason() {
+    return reason;
+  }
+
   /** Returns the resources committed to running tasks. */
   public Resources committed() {
     return committed;
@@ -51,8 +60,9 @@
     spec = newSpec;
   }
 
-  void setStatus(WorkerStatus newStatus) {
+  void setStatus(WorkerStatus newStatus, String newReason) {
     status = newStatus;
+    reason = newReason;
   }
 
   void add(TaskId task, Resources resources) {
--- a/state/src/main/java/org/vanillacove/state/placement/FailureTracker.java
+++ b/state/src/main/java/org/vanillacove/state/placement/FailureTracker.java
@@ -5,7 +5,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
+import org.vanillacove.state.api.WorkerHealth;
 
 /**
  * Tells failing workers from failing jobs.
@@ -64,6 +67,9 @@
 
     /** Successes on probation. */
     private int successes;
+
+    /** What led to the last quarantine. */
+    private String reason = "";
   }
 
   /** Returns whether a job is at fault itself. */
@@ -121,6 +127,36 @@
     return released;
   }
 
+  /** Returns what failures say about a worker, empty if it is trusted. */
+  Optional<WorkerHealth> healthOf(WorkerState worker) {
+    if (!worker.isQuarantined() && !worker.isOnProbation()) {
+      return Optional.empty();
+    }
+    WorkerHealth.Phase phase =
+        worker.isQuarantined() ? WorkerHealth.Phase.QUARANTINED : WorkerHealth.Phase.ON_PROBATION;
+    Health health = healths.get(worker.id());
+    return Optional.of(new WorkerHealth(worker.id(), phase, health == null ? "" : health.reason));
+  }
+
+  /** Puts a worker in quarantine or on probation as a former leader did; its term starts anew. */
+  void restore(WorkerState worker, WorkerHealth known, long nowMillis) {
+    Health health = healths.computeIfAbsent(worker.id(), id -> new Health());
+    health.reason = known.reason();
+    if (known.phase() == WorkerHealth.Phase.QUARANTINED && !worker.isQuarantined()) {
+      quarantine(worker, health, nowMillis);
+    } else if (known.phase() == WorkerHealth.Phase.ON_PROBATION) {
+      worker.setOnProbation(true);
+    }
+  }
+
+  /** Forgets all failures of a worker. */
+  void trust(WorkerState worker) {
+    quarantined.remove(worker);
+    worker.setQuarantined(false);
+    worker.setOnProbation(false);
+    healths.remove(worker.id());
+  }
+
   /** Returns the workers in quarantine. */
   List<WorkerState> quarantined() {
     return quarantined;
@@ -142,14 +178,28 @@
     boolean failing = worker.isOnProbation() || health.failed.size() >= UNLIKE_FAMILIES;
     boolean allowed = quarantined.size() < Math.max(1, workers / MAX_QUARANTINED_PART);
     if (failing && allowed && !worker.isQuarantined()) {
-      health.untilMillis =
-          nowMillis + (QUARANTINE_MILLIS << Math.min(health.quarantines, MAX_DOUBLINGS));
-      health.quarantines++;
-      health.successes = 0;
-      health.failed.clear();
-      worker.setOnProbation(false);
-      worker.setQuarantined(true);
-      quarantined.add(worker);
+      health.reason = reason(worker, health);
+      quarantine(worker, health, nowMillis);
     }
   }
+
+  private void quarantine(WorkerState worker, Health health, long nowMillis) {
+    health.untilMillis =
+        nowMillis + (QUARANTINE_MILLIS << Math.min(health.quarantines, MAX_DOUBLINGS));
+    health.quarantines++;
+    health.successes = 0;
+    health.failed.clear();
+    worker.setOnProbation(false);
+    worker.setQuarantined(true);
+    quarantined.add(worker);
+  }
+
+  private static String reason(WorkerState worker, Health health) {
+    String names =
+        health.failed.stream()
+            .map(family -> family.team() + "/" + family.name())
+            .sorted()
+            .collect(Collectors.joining(", "));
+    return (worker.isOnProbation() ? "failed on probation: " : "unlike jobs failed: ") + names;
+  }
 }
--- a/state/src/main/java/org/vanillacove/state/placement/PolicyPlacer.java
+++ b/state/src/main/java/org/vanillacove/state/placement/PolicyPlacer.java
@@ -13,6 +13,7 @@
 import org.vanillacove.state.api.TaskId;
 import org.vanillacove.state.api.TaskOutcome;
 import org.vanillacove.state.api.WaitReason;
+import org.vanillacove.state.api.WorkerHealth;
 import org.vanillacove.state.api.WorkerSpec;
 import org.vanillacove.state.api.WorkerStatus;
 import org.vanillacove.state.api.WorkloadKind;
@@ -172,6 +173,28 @@
     return explainer.explain(jobId, nowMillis);
   }
 
+  @Override
+  public List<WorkerHealth> unhealthyWorkers() {
+    return state.workers().all().stream()
+        .flatMap(worker -> state.failures().healthOf(worker).stream())
+        .toList();
+  }
+
+  @Override
+  public void restoreHealth(WorkerHealth health, long nowMillis) {
+    Optional<WorkerState> worker = state.workers().get(health.workerId());
+    worker.ifPresent(w -> state.failures().restore(w, health, nowMillis));
+    worker.ifPresent(state.workers()::changed);
+  }
+
+  @Override
+  public void trust(String workerId) {
+    Optional<WorkerState> worker = state.workers().get(workerId);
+    worker.ifPresent(state.failures()::trust);
+    worker.ifPresent(state.workers()::changed);
+    worker.ifPresent(state.workers()::markGained);
+  }
+
   /** Returns the workers that take no tasks because unlike tasks failed there. */
   public List<String> quarantinedWorkers() {
     return state.failures().quarantined().stream().map(WorkerState::id).toList();
--- a/transport/src/main/java/org/vanillacove/transport/operator/CellResource.java
+++ b/transport/src/main/java/org/vanillacove/transport/operator/CellResource.java
@@ -175,6 +175,7 @@
         worker.spec().zone().name(),
         worker.spec().rack(),
         worker.status(),
+        worker.reason(),
         worker.spec().acceleratorKind(),
         worker.spec().capacity(),
         worker.committed(),
--- a/transport/src/main/java/org/vanillacove/transport/operator/message/WorkerMessage.java
+++ b/transport/src/main/java/org/vanillacove/transport/operator/message/WorkerMessage.java
@@ -12,6 +12,7 @@
  * @param zone availability zone
  * @param rack rack
  * @param status whether it takes new tasks
+ * @param reason why it has its status, empty if nobody said
  * @param acceleratorKind kind of its accelerators
  * @param capacity resources that tasks may be committed to
  * @param committed resources committed to running tasks
@@ -23,6 +24,7 @@
     String zone,
     String rack,
     WorkerStatus status,
+    String reason,
     Optional<String> acceleratorKind,
     Resources capacity,
     Resources committed,
