--- a/coordination/src/main/java/org/vanillacove/coordination/scheduling/LeaderTerm.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/scheduling/LeaderTerm.java
@@ -10,6 +10,7 @@
 import org.vanillacove.state.api.PlacementSettings;
 import org.vanillacove.state.api.TaskOutcome;
 import org.vanillacove.state.api.WaitReason;
+import org.vanillacove.state.cell.CellState;
 
 /**
  * One term of this host as leader: decides starts, commands workers and records what happens. All
@@ -43,6 +44,9 @@
   /** Compares what workers say with what should run. */
   private final InventoryCheck inventories;
 
+  /** Records quarantines. */
+  private final QuarantineRecorder quarantines;
+
   /** Puts changes into the time line. */
   private final RecordEvents events;
 
@@ -88,8 +92,9 @@
             (worker, reply) -> inventories().takeAttempts(worker, reply.tasks()));
     inventories = new InventoryCheck(term, recorder, stopper, starter);
     events = new RecordEvents(context.store(), context.timeline());
+    quarantines = new QuarantineRecorder(context, shard, epoch, term.placer());
     TermLoader loader = new TermLoader(term, watcher);
-    builtThrough = context.store().read(loader::load);
+    builtThrough = context.store().read(state -> load(loader, state));
     watcher.start();
   }
 
@@ -139,6 +144,7 @@
   /** Does slower checks: lapses, held tasks, stops without an answer. */
   void maintain() {
     watcher.maintain();
+    quarantines.tick();
     starter.resumeHeld();
     stopper.repeat();
   }
@@ -151,7 +157,10 @@
           term.placer().submit(accepted.jobId(), accepted.spec(), term.now());
       case CellRecord.JobCancelled cancelled -> cancel(cancelled.jobId());
       case CellRecord.WorkerJoined joined -> changes.join(joined.worker());
-      case CellRecord.WorkerChanged changed -> changes.change(changed.workerId(), changed.status());
+      case CellRecord.WorkerChanged changed -> {
+        quarantines.folded(changed);
+        changes.change(changed.workerId(), changed.status());
+      }
       case CellRecord.DomainDeclaredLost lost -> changes.loseDomain(lost);
       default -> {}
     }
@@ -173,6 +182,12 @@
     return inventories;
   }
 
+  private long load(TermLoader loader, CellState state) {
+    long through = loader.load(state);
+    quarantines.load(state, term.now());
+    return through;
+  }
+
   private void preempt(PlacementDecision.Preempt preempt) {
     term.ledger()
         .find(preempt.task())
