Bring the merged parts in line with the linter

Cause: the parts came from workspaces without the linter's plugins. Change: overloads that stood apart are named for what they do, a switch has its default, the control bench starts its hosts in a method of its own. Conclusion: no change of behaviour.

--- a/bench/src/main/java/org/vanillacove/bench/control/ControlBench.java
+++ b/bench/src/main/java/org/vanillacove/bench/control/ControlBench.java
@@ -89,29 +89,7 @@
     }
     long fakes = liveBytes();
     Map<String, MeteredHost> meters = new TreeMap<>();
-    Map<String, CellNode> nodes = new TreeMap<>();
-    List<HostSpec> hosts =
-        IntStream.range(0, HOSTS)
-            .mapToObj(i -> new HostSpec("h" + i, "127.0.0.1:" + (7_000 + i), zone(i)))
-            .toList();
-    for (HostSpec host : hosts) {
-      MeteredHost meter = new MeteredHost();
-      CellNode node =
-          new CellNode(
-              host,
-              hosts,
-              meter.log(log),
-              meter.gateway(gateway),
-              () -> CompletableFuture.completedFuture(Optional.of(List.of())),
-              meter.link(network.link(host.id())),
-              meter.timer(clock),
-              (kind, subject, text) -> {},
-              PolicyPlacer::new,
-              CellTimings.DEFAULTS);
-      meters.put(host.id(), meter);
-      nodes.put(host.id(), node);
-      node.start();
-    }
+    Map<String, CellNode> nodes = startHosts(clock, log, network, gateway, meters);
     clock.advance(10_000);
     CellNode leader = nodes.values().stream().filter(CellNode::isLeader).findFirst().orElseThrow();
     String leaderId = leader.self().id();
@@ -156,6 +134,39 @@
     nodes.values().forEach(CellNode::close);
   }
 
+  /** Starts all hosts with meters around what they use. */
+  private static Map<String, CellNode> startHosts(
+      ManualTimerService clock,
+      MemoryLog log,
+      MemoryPeerNetwork network,
+      MemoryWorkerGateway gateway,
+      Map<String, MeteredHost> meters) {
+    Map<String, CellNode> nodes = new TreeMap<>();
+    List<HostSpec> hosts =
+        IntStream.range(0, HOSTS)
+            .mapToObj(i -> new HostSpec("h" + i, "127.0.0.1:" + (7_000 + i), zone(i)))
+            .toList();
+    for (HostSpec host : hosts) {
+      MeteredHost meter = new MeteredHost();
+      CellNode node =
+          new CellNode(
+              host,
+              hosts,
+              meter.log(log),
+              meter.gateway(gateway),
+              () -> CompletableFuture.completedFuture(Optional.of(List.of())),
+              meter.link(network.link(host.id())),
+              meter.timer(clock),
+              (kind, subject, text) -> {},
+              PolicyPlacer::new,
+              CellTimings.DEFAULTS);
+      meters.put(host.id(), meter);
+      nodes.put(host.id(), node);
+      node.start();
+    }
+    return nodes;
+  }
+
   /** Adds the bytes of each kind of message of one host at the planned size. */
   private static void addShares(
       String role, MeteredHost meter, Map<String, Long> begun, Map<String, Object> figures) {
--- a/coordination/src/main/java/org/vanillacove/coordination/scheduling/InventoryCheck.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/scheduling/InventoryCheck.java
@@ -35,7 +35,7 @@
   /** Takes a report of a session holder, but for silent workers. */
   void takeReport(SessionReportMessage report) {
     for (AttemptMessage message : report.getEndedList()) {
-      Optional<TaskOutcome> outcome = Optional.of(outcomeOf(message.getOutcome()));
+      Optional<TaskOutcome> outcome = Optional.of(reportedOutcome(message.getOutcome()));
       take(message.getWorkerId(), idOf(message), message.getAttempt(), outcome);
     }
     for (AttemptMessage message : report.getExtraList()) {
@@ -142,7 +142,7 @@
     return new TaskId(message.getJobId(), message.getIndex());
   }
 
-  private static TaskOutcome outcomeOf(int number) {
+  private static TaskOutcome reportedOutcome(int number) {
     TaskOutcome[] outcomes = TaskOutcome.values();
     return number >= 1 && number <= outcomes.length ? outcomes[number - 1] : TaskOutcome.LOST;
   }
--- a/coordination/src/main/java/org/vanillacove/coordination/stream/StreamReader.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/stream/StreamReader.java
@@ -166,7 +166,7 @@
       return;
     }
     started = true;
-    fold(batch);
+    foldBatch(batch);
     foldOwn();
     if (store.read(CellState::nextOffset) >= batch.endOffset()) {
       freshAsOfMillis = begun;
@@ -175,7 +175,7 @@
     }
   }
 
-  private void fold(ReadOutcome.Batch batch) {
+  private void foldBatch(ReadOutcome.Batch batch) {
     long offset = batch.firstOffset();
     for (ByteString bytes : batch.records()) {
       if (offset >= store.read(CellState::nextOffset)) {
@@ -215,7 +215,6 @@
     }
     long through = digest.throughOffset();
     switch (agreement.judge(envelope.author(), digest)) {
-      case KEEP -> {}
       case RELOAD -> {
         LOGGER.atSevere().log(
             "stream: state at %d differs from that of %s, loading it anew.",
@@ -230,6 +229,7 @@
         objections.accept(
             new CellRecord.StateDigest(through, store.digestAt(through).orElseThrow()));
       }
+      default -> {}
     }
   }
 
--- a/coordination/src/test/java/org/vanillacove/coordination/cell/ReplyFaultGateway.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/cell/ReplyFaultGateway.java
@@ -25,6 +25,7 @@
     this.timer = timer;
   }
 
+  /** What goes wrong with replies. */
   enum Fault {
     NONE,
     /** Every second renewal takes effect but its reply is lost. */
