Keep the requests of the shutdown test in progress until they are counted

Cause: the test waits until more than 900 of 1,000 requests of 10 ms are in progress and looked each 100 ms. Sixteen slots end 1,600 such requests a second, so the moment can pass between two looks; it did once on a busy machine (timed out after 10 s) and would more often on a faster one. Ruled out: a lost request (all had been answered). Change: requests take 60 ms and the test looks each millisecond: at least 900 are in progress for about 375 ms. What is checked is unchanged: 1,000 answered, each run once, no slot over 8. Conclusion: a fault of the test.

--- a/transport/src/test/java/org/vanillacove/transport/guest/EntryHostFaultTest.java
+++ b/transport/src/test/java/org/vanillacove/transport/guest/EntryHostFaultTest.java
@@ -31,8 +31,11 @@
   @Test
   void shutdownUnderLoadCutsOffNothing() {
     EntryCell.Host leaving = cell.host(1);
-    List<CompletableFuture<AggregatedHttpResponse>> answers = requests(leaving, 1_000, 10);
-    await().until(() -> leaving.guest.inProgress() > 900);
+    List<CompletableFuture<AggregatedHttpResponse>> answers = requests(leaving, 1_000, 60);
+    await()
+        .pollDelay(Duration.ZERO)
+        .pollInterval(Duration.ofMillis(1))
+        .until(() -> leaving.guest.inProgress() > 900);
 
     CompletableFuture<Void> drained = leaving.guest.drain(leaving.server::stop);
 
