Show the state of the cell among the metrics

Cause: /metrics had the peer link and the routing only; nobody could alert on a missing leader, a log out of reach or hosts that differ in configuration.

--- a/bench/src/main/java/org/vanillacove/bench/route/SteadyTimerService.java
+++ b/bench/src/main/java/org/vanillacove/bench/route/SteadyTimerService.java
@@ -8,7 +8,10 @@
 import java.util.concurrent.TimeUnit;
 import org.vanillacove.protocol.timer.TimerService;
 
-/** Real time for measurements over sockets. */
+/**
+ * Real time for measurements over sockets; unlike the product's timer service it makes up for late
+ * ticks, so that requests keep their pace.
+ */
 final class SteadyTimerService implements TimerService {
   /** Runs the timers. */
   private final ScheduledExecutorService executor = Executors.newScheduledThreadPool(2);
--- a/daemon/src/main/java/org/vanillacove/daemon/host/EntryHost.java
+++ b/daemon/src/main/java/org/vanillacove/daemon/host/EntryHost.java
@@ -123,6 +123,7 @@
                 recorder,
                 PolicyPlacer::new,
                 TimingMapper.cellTimings(settings.timings())));
+    CellMetrics.register(node, meters);
     OperatorChannel channel = new OperatorChannel(link, node);
     configuration = new ConfigurationService(node, node, channel, settings.hostId(), timer);
     BackendListPoller backends =
