Write the shown form of a configuration once in the test of monotonic versions

Cause: the test's view built the shown form of a configuration in two places. Change: one method builds it; the checks are as they were. Conclusion: no change of what is tested.

--- a/coordination/src/test/java/org/vanillacove/coordination/configuration/ConfigurationMonotonicTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/configuration/ConfigurationMonotonicTest.java
@@ -112,6 +112,11 @@
           .ifPresent(offset -> state = CellState.restore(snapshots.get(offset)));
     }
 
+    private static CellView.ConfigurationVersion shown(ConfigurationEntry entry) {
+      return new CellView.ConfigurationVersion(
+          entry.version(), entry.document(), entry.author(), entry.reason());
+    }
+
     private CellView view() {
       return (CellView)
           Proxy.newProxyInstance(
@@ -121,25 +126,9 @@
                   switch (method.getName()) {
                     case "configurationVersion" -> state.configuration().version();
                     case "configurationHistory" ->
-                        state.configurations().stream()
-                            .map(
-                                entry ->
-                                    new CellView.ConfigurationVersion(
-                                        entry.version(),
-                                        entry.document(),
-                                        entry.author(),
-                                        entry.reason()))
-                            .toList();
+                        state.configurations().stream().map(Reader::shown).toList();
                     case "configuration" ->
-                        state
-                            .configuration((long) arguments[0])
-                            .map(
-                                entry ->
-                                    new CellView.ConfigurationVersion(
-                                        entry.version(),
-                                        entry.document(),
-                                        entry.author(),
-                                        entry.reason()));
+                        state.configuration((long) arguments[0]).map(Reader::shown);
                     default -> throw new UnsupportedOperationException(method.getName());
                   });
     }
