--- /dev/null
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobRecords.java
@@ -0,0 +1,138 @@
+package org.vanillacove.coordination.work;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import org.vanillacove.protocol.generated.WorkJobMessage;
+import org.vanillacove.protocol.generated.WorkOutcomeMessage;
+import org.vanillacove.protocol.generated.WorkProgressMessage;
+import org.vanillacove.protocol.generated.WorkStepMessage;
+import org.vanillacove.protocol.generated.WorkTaskMessage;
+import org.vanillacove.state.api.Resources;
+import org.vanillacove.state.work.JobSpec;
+import org.vanillacove.state.work.StepSpec;
+
+/** Forms of the durable records, and their keys. */
+final class JobRecords {
+  /** Prefix of keys of job records. */
+  static final String JOB = "job/";
+
+  /** Prefix of keys of progress records. */
+  static final String PROGRESS = "progress/";
+
+  /** Prefix of keys of records of workers that may hold runs. */
+  static final String WORKER = "worker/";
+
+  private JobRecords() {}
+
+  /** Returns the record of an acceptance. */
+  static ByteString job(JobSpec spec, long wallMillis) {
+    WorkJobMessage.Builder message =
+        WorkJobMessage.newBuilder()
+            .setId(spec.id())
+            .setQueue(spec.queue())
+            .setPayload(spec.payload())
+            .setAcceptedWallMillis(wallMillis);
+    spec.steps().forEach(step -> message.addSteps(step(step)));
+    return message.build().toByteString();
+  }
+
+  /** Returns the record of how far {@code job} is. */
+  static ByteString progress(TrackedJob job) {
+    WorkProgressMessage.Builder message =
+        WorkProgressMessage.newBuilder().setOutcome(outcome(job.stage()));
+    if (message.getOutcome() == WorkOutcomeMessage.WORK_OPEN) {
+      for (TrackedStep step : job.steps()) {
+        step.tasks().stream()
+            .filter(task -> task.isDone() || task.lastCountedRun() > 0)
+            .forEach(task -> message.addTasks(task(task)));
+      }
+    }
+    return message.build().toByteString();
+  }
+
+  /** Returns the job in a record, or empty if the record is malformed. */
+  static Optional<JobSpec> parseJob(ByteString bytes) {
+    try {
+      WorkJobMessage message = WorkJobMessage.parseFrom(bytes);
+      return Optional.of(
+          new JobSpec(
+              message.getId(),
+              message.getQueue(),
+              message.getPayload(),
+              message.getStepsList().stream().map(JobRecords::parseStep).toList()));
+    } catch (InvalidProtocolBufferException e) {
+      return Optional.empty();
+    }
+  }
+
+  /** Returns the progress in a record, or empty if the record is malformed. */
+  static Optional<WorkProgressMessage> parseProgress(ByteString bytes) {
+    try {
+      return Optional.of(WorkProgressMessage.parseFrom(bytes));
+    } catch (InvalidProtocolBufferException e) {
+      return Optional.empty();
+    }
+  }
+
+  /** Returns the stage that a recorded outcome stands for. */
+  static TrackedJob.Stage stage(WorkOutcomeMessage outcome) {
+    return switch (outcome) {
+      case WORK_COMPLETED -> TrackedJob.Stage.COMPLETED;
+      case WORK_FAILED -> TrackedJob.Stage.FAILED;
+      case WORK_CANCELLED -> TrackedJob.Stage.CANCELLED;
+      case WORK_OPEN, UNRECOGNIZED -> TrackedJob.Stage.OPEN;
+    };
+  }
+
+  private static WorkOutcomeMessage outcome(TrackedJob.Stage stage) {
+    return switch (stage) {
+      case COMPLETING, COMPLETED -> WorkOutcomeMessage.WORK_COMPLETED;
+      case FAILING, FAILED -> WorkOutcomeMessage.WORK_FAILED;
+      case CANCELLING, CANCELLED -> WorkOutcomeMessage.WORK_CANCELLED;
+      case ACCEPTING, OPEN -> WorkOutcomeMessage.WORK_OPEN;
+    };
+  }
+
+  private static WorkTaskMessage task(TrackedTask task) {
+    return WorkTaskMessage.newBuilder()
+        .setStep(task.name().step())
+        .setIndex(task.name().index())
+        .setDone(task.isDone())
+        .setFailures(task.failures())
+        .setLastEndedRun(task.lastCountedRun())
+        .setCheckpoint(task.isDone() ? "" : task.checkpoint())
+        .build();
+  }
+
+  private static WorkStepMessage step(StepSpec step) {
+    return WorkStepMessage.newBuilder()
+        .setCount(step.count())
+        .setCpuMillis(step.demand().cpuMillis())
+        .setMemoryMib(step.demand().memoryMib())
+        .setAccelerators(step.demand().accelerators())
+        .setEstimateMillis(step.estimateMillis())
+        .addAllAfter(step.after())
+        .setCheckpoints(step.checkpoints())
+        .setGang(step.gang())
+        .setSameRack(step.sameRack())
+        .setRequiredLabel(step.requiredLabel().orElse(""))
+        .setDataRack(step.dataRack().orElse(""))
+        .setMaxPerWorker(step.maxPerWorker())
+        .build();
+  }
+
+  private static StepSpec parseStep(WorkStepMessage message) {
+    return new StepSpec(
+        message.getCount(),
+        new Resources(message.getCpuMillis(), message.getMemoryMib(), message.getAccelerators()),
+        message.getEstimateMillis(),
+        message.getAfterList(),
+        message.getCheckpoints(),
+        message.getGang(),
+        message.getSameRack(),
+        Optional.of(message.getRequiredLabel()).filter(label -> !label.isEmpty()),
+        Optional.of(message.getDataRack()).filter(rack -> !rack.isEmpty()),
+        message.getMaxPerWorker());
+  }
+}
