--- /dev/null
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
@@ -0,0 +1,120 @@
+package org.vanillacove.coordination.work;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.vanillacove.coordination.work.api.Adviser;
+import org.vanillacove.coordination.work.api.SubmitOutcome;
+import org.vanillacove.protocol.timer.TimerService;
+import org.vanillacove.standin.memory.ManualTimerService;
+import org.vanillacove.state.api.Resources;
+import org.vanillacove.state.work.JobSpec;
+import org.vanillacove.state.work.QueuePolicy;
+import org.vanillacove.state.work.StepSpec;
+
+/** A cell over fakes in virtual time, whose leader can be replaced. */
+final class CellFixture {
+  static final String QUEUE = "plans";
+  private static final long LEASE_MILLIS = 6_000;
+
+  final ManualTimerService timer = new ManualTimerService(0);
+  final FakeStore store = new FakeStore(timer);
+  final FakeWorkers workers;
+  final Map<String, SubmitOutcome> outcomes = new HashMap<>();
+  private final boolean advised;
+  private long epoch;
+  private WorkCell cell;
+
+  CellFixture(long seed, boolean advised) {
+    this.advised = advised;
+    workers = new FakeWorkers(timer, seed);
+    for (int i = 0; i < 6; i++) {
+      workers.add("w" + i, new Resources(8_000, 32_000, 0), "r" + i / 3);
+    }
+  }
+
+  void lead() {
+    if (cell != null) {
+      cell.close();
+    }
+    epoch++;
+    cell =
+        new WorkCell(
+            new WorkCell.Term(LEASE_MILLIS, () -> {}),
+            timer,
+            store.open(epoch),
+            workers.client(epoch),
+            new FakeAdviser(timer));
+    Optional<QueuePolicy.AdvicePolicy> advice =
+        advised ? Optional.of(new QueuePolicy.AdvicePolicy(50, 1, 1_500)) : Optional.empty();
+    cell.configure(Map.of(QUEUE, new QueuePolicy(QUEUE, "pool", 1, 3, 4, 60_000, advice)));
+    cell.load(store.records());
+    cell.directory(workers.directory());
+  }
+
+  WorkCell cell() {
+    return cell;
+  }
+
+  void run(long millis) {
+    for (long passed = 0; passed < millis; passed += 250) {
+      cell.directory(workers.directory());
+      timer.advance(250);
+    }
+  }
+
+  void submit(JobSpec spec) {
+    workers.handedIn(spec);
+    cell.submit(spec, outcome -> outcomes.put(spec.id(), outcome));
+  }
+
+  boolean isAccepted(String id) {
+    return outcomes.get(id) instanceof SubmitOutcome.Accepted;
+  }
+
+  static JobSpec job(String id, StepSpec... steps) {
+    return new JobSpec(id, QUEUE, "payload of " + id, List.of(steps));
+  }
+
+  static StepSpec step(int count, long cpu, long millis, boolean gang, List<Integer> after) {
+    return new StepSpec(
+        count,
+        new Resources(cpu, 1_000, 0),
+        millis,
+        after,
+        false,
+        gang,
+        false,
+        Optional.empty(),
+        Optional.empty(),
+        0);
+  }
+
+  /** Allows each step four of six workers. */
+  private record FakeAdviser(TimerService timer) implements Adviser {
+    @Override
+    public List<String> hosts() {
+      return List.of("h1", "h2", "h3", "h4");
+    }
+
+    @Override
+    public void ask(
+        String host,
+        String job,
+        int step,
+        List<String> asked,
+        Consumer<Optional<Map<String, String>>> done) {
+      Map<String, String> good = new HashMap<>();
+      for (String worker : new ArrayList<>(asked)) {
+        if (Math.floorMod((job + step + worker).hashCode(), 6) < 4) {
+          good.put(worker, "ticket");
+        }
+      }
+      timer.after(Duration.ofMillis(60), () -> done.accept(Optional.of(good)));
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellFaultTest.java
@@ -0,0 +1,125 @@
+package org.vanillacove.coordination.work;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.vanillacove.coordination.work.api.JobView;
+import org.vanillacove.coordination.work.api.SubmitOutcome;
+import org.vanillacove.state.api.Resources;
+import org.vanillacove.state.work.JobSpec;
+import org.vanillacove.state.work.StepSpec;
+
+/**
+ * Plays seeded schedules of faults over the real cell: changes of leader, workers that crash, are
+ * cut off or carry orders out late, a store that refuses, is silent, loses answers or lands late.
+ */
+class WorkCellFaultTest {
+  private static final int ROUNDS = 60;
+  private static final long CALM_MILLIS = 60_000;
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+  void rulesHoldUnderFaults(long seed) {
+    Random random = new Random(seed);
+    CellFixture fixture = new CellFixture(seed, seed % 2 == 0);
+    fixture.workers.attempts(3, 0.1);
+    fixture.lead();
+    fixture.run(1_000);
+    List<JobSpec> jobs = new ArrayList<>();
+    Set<String> cancelled = new HashSet<>();
+    for (int round = 0; round < ROUNDS; round++) {
+      play(fixture, random, jobs, cancelled);
+      fixture.run(250L * (1 + random.nextInt(4)));
+      assertThat(fixture.workers.violations()).as("round %d", round).isEmpty();
+    }
+    calm(fixture);
+    assertThat(fixture.workers.violations()).isEmpty();
+    for (JobSpec job : jobs) {
+      checkEnd(fixture, job.id(), cancelled);
+    }
+    assertThat(fixture.workers.running()).isZero();
+  }
+
+  private static void play(
+      CellFixture fixture, Random random, List<JobSpec> jobs, Set<String> cancelled) {
+    String worker = "w" + random.nextInt(6);
+    switch (random.nextInt(12)) {
+      case 0 -> fixture.lead();
+      case 1 -> fixture.workers.cut(worker, true);
+      case 2 -> fixture.workers.cut(worker, false);
+      case 3 -> fixture.workers.crash(worker);
+      case 4 -> fixture.workers.late(worker, random.nextBoolean());
+      case 5 -> {
+        FakeStore.Fault[] faults = FakeStore.Fault.values();
+        fixture.store.fault(faults[random.nextInt(faults.length)]);
+      }
+      case 6 -> fixture.store.fault(FakeStore.Fault.NONE);
+      case 7 -> {
+        if (!jobs.isEmpty()) {
+          String id = jobs.get(random.nextInt(jobs.size())).id();
+          cancelled.add(id);
+          fixture.cell().cancel(id, done -> {});
+        }
+      }
+      default -> {
+        JobSpec job = job(random, jobs.size());
+        jobs.add(job);
+        fixture.submit(job);
+      }
+    }
+  }
+
+  private static JobSpec job(Random random, int number) {
+    List<StepSpec> steps = new ArrayList<>();
+    int count = 1 + random.nextInt(3);
+    for (int i = 0; i < count; i++) {
+      boolean gang = random.nextInt(3) == 0;
+      int limit = gang ? 0 : random.nextInt(3);
+      steps.add(
+          new StepSpec(
+              1 + random.nextInt(4),
+              new Resources(1_000 + random.nextInt(3_000), 1_000, 0),
+              200 + random.nextInt(2_500),
+              i == 0 ? List.of() : List.of(i - 1),
+              false,
+              gang,
+              false,
+              Optional.empty(),
+              Optional.empty(),
+              limit));
+    }
+    String id = String.format("%016x", number + 1);
+    return new JobSpec(id, CellFixture.QUEUE, "payload " + number, steps);
+  }
+
+  private static void calm(CellFixture fixture) {
+    fixture.store.fault(FakeStore.Fault.NONE);
+    for (int i = 0; i < 6; i++) {
+      fixture.workers.cut("w" + i, false);
+      fixture.workers.late("w" + i, false);
+    }
+    fixture.run(CALM_MILLIS);
+  }
+
+  private static void checkEnd(CellFixture fixture, String id, Set<String> cancelled) {
+    SubmitOutcome outcome = fixture.outcomes.get(id);
+    Optional<JobView> view = fixture.cell().show(id);
+    if (outcome instanceof SubmitOutcome.Rejected) {
+      assertThat(view).as("rejected job %s", id).isEmpty();
+    } else if (outcome instanceof SubmitOutcome.Accepted) {
+      assertThat(view).as("accepted job %s", id).isPresent();
+      List<JobView> ends = new ArrayList<>(List.of(JobView.COMPLETED, JobView.FAILED));
+      if (cancelled.contains(id)) {
+        ends.add(JobView.CANCELLED);
+      }
+      assertThat(ends).as("end of job %s", id).contains(view.get());
+    }
+  }
+}
--- /dev/null
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellTest.java
@@ -0,0 +1,160 @@
+package org.vanillacove.coordination.work;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.vanillacove.coordination.work.api.JobView;
+import org.vanillacove.coordination.work.api.SubmitOutcome;
+
+/** Checks the life of jobs over fakes. */
+class WorkCellTest {
+  private static final String ID = "00000000000000a1";
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void stepsRunInOrder(boolean advised) {
+    CellFixture fixture = new CellFixture(1, advised);
+    fixture.lead();
+    fixture.run(1_000);
+    fixture.submit(
+        CellFixture.job(
+            ID,
+            CellFixture.step(4, 2_000, 800, false, List.of()),
+            CellFixture.step(3, 4_000, 500, true, List.of(0))));
+
+    fixture.run(1_000);
+    assertThat(fixture.isAccepted(ID)).isTrue();
+    assertThat(fixture.cell().show(ID)).contains(JobView.RUNNING);
+
+    fixture.run(5_000);
+    assertThat(fixture.cell().show(ID)).contains(JobView.COMPLETED);
+    assertThat(fixture.workers.violations()).isEmpty();
+    assertThat(fixture.workers.starts()).isEqualTo(7);
+  }
+
+  @Test
+  void repeatedSubmissionStaysOneJob() {
+    CellFixture fixture = new CellFixture(1, false);
+    fixture.lead();
+    fixture.run(1_000);
+    for (int i = 0; i < 3; i++) {
+      fixture.submit(CellFixture.job(ID, CellFixture.step(1, 1_000, 300, false, List.of())));
+      fixture.run(1_000);
+    }
+    assertThat(fixture.workers.starts()).isEqualTo(1);
+  }
+
+  @Test
+  void jobFailsAfterItsAttempts() {
+    CellFixture fixture = new CellFixture(1, false);
+    fixture.workers.attempts(3, 1.0);
+    fixture.lead();
+    fixture.run(1_000);
+    fixture.submit(CellFixture.job(ID, CellFixture.step(1, 1_000, 200, false, List.of())));
+    fixture.run(30_000);
+    assertThat(fixture.cell().show(ID)).contains(JobView.FAILED);
+    assertThat(fixture.workers.starts()).isEqualTo(3);
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
+  @Test
+  void cancelStopsRunsAndIsDurable() {
+    CellFixture fixture = new CellFixture(1, false);
+    fixture.lead();
+    fixture.run(1_000);
+    fixture.submit(CellFixture.job(ID, CellFixture.step(2, 1_000, 60_000, false, List.of())));
+    fixture.run(1_000);
+    AtomicReference<Boolean> cancelled = new AtomicReference<>();
+    fixture.cell().cancel(ID, cancelled::set);
+    fixture.run(1_500);
+    assertThat(cancelled.get()).isTrue();
+    assertThat(fixture.workers.running()).isZero();
+
+    fixture.lead();
+    assertThat(fixture.cell().show(ID)).contains(JobView.CANCELLED);
+  }
+
+  @Test
+  void unknownJobIsNotShown() {
+    CellFixture fixture = new CellFixture(1, false);
+    fixture.lead();
+    assertThat(fixture.cell().show(ID)).isEqualTo(Optional.empty());
+  }
+
+  @Test
+  void newLeaderTakesOverRunsWithoutStartingThemAgain() {
+    CellFixture fixture = new CellFixture(1, false);
+    fixture.lead();
+    fixture.run(1_000);
+    fixture.submit(CellFixture.job(ID, CellFixture.step(4, 2_000, 4_000, false, List.of())));
+    fixture.run(1_500);
+    fixture.lead();
+    fixture.run(6_000);
+    assertThat(fixture.cell().show(ID)).contains(JobView.COMPLETED);
+    assertThat(fixture.workers.starts()).isEqualTo(4);
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
+  @Test
+  void tasksOfSilentWorkerStartElsewhereOnlyAfterItsLease() {
+    CellFixture fixture = new CellFixture(1, false);
+    fixture.lead();
+    fixture.run(1_000);
+    fixture.submit(CellFixture.job(ID, CellFixture.step(4, 8_000, 3_000, false, List.of())));
+    fixture.run(1_000);
+    fixture.workers.cut("w0", true);
+    fixture.workers.cut("w1", true);
+    fixture.run(20_000);
+    assertThat(fixture.cell().show(ID)).contains(JobView.COMPLETED);
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      value = FakeStore.Fault.class,
+      names = {"REFUSES", "SILENT"})
+  void submissionIsAnsweredWhileTheStoreIsAway(FakeStore.Fault fault) {
+    CellFixture fixture = new CellFixture(1, false);
+    fixture.lead();
+    fixture.run(1_000);
+    fixture.store.fault(fault);
+    fixture.submit(CellFixture.job(ID, CellFixture.step(1, 1_000, 200, false, List.of())));
+    fixture.run(1_500);
+    assertThat(fixture.outcomes.get(ID)).isNotInstanceOf(SubmitOutcome.Accepted.class);
+    assertThat(fixture.outcomes).containsKey(ID);
+
+    String second = "00000000000000a2";
+    fixture.submit(CellFixture.job(second, CellFixture.step(1, 1_000, 200, false, List.of())));
+    fixture.timer.advance(900);
+    assertThat(fixture.outcomes.get(second)).isInstanceOf(SubmitOutcome.Rejected.class);
+
+    fixture.store.fault(FakeStore.Fault.NONE);
+    fixture.run(3_000);
+    boolean ran = fixture.workers.starts() > 0;
+    assertThat(ran).isEqualTo(!(fixture.outcomes.get(ID) instanceof SubmitOutcome.Rejected));
+  }
+
+  @Test
+  void endsStayAtTheWorkersWhileTheStoreIsAway() {
+    CellFixture fixture = new CellFixture(1, false);
+    fixture.lead();
+    fixture.run(1_000);
+    fixture.submit(CellFixture.job(ID, CellFixture.step(2, 1_000, 1_000, false, List.of())));
+    fixture.run(750);
+    fixture.store.fault(FakeStore.Fault.SILENT);
+    fixture.run(4_000);
+    assertThat(fixture.cell().show(ID)).contains(JobView.RUNNING);
+
+    fixture.store.fault(FakeStore.Fault.NONE);
+    fixture.lead();
+    fixture.run(4_000);
+    assertThat(fixture.cell().show(ID)).contains(JobView.COMPLETED);
+    assertThat(fixture.workers.starts()).isEqualTo(2);
+  }
+}
