--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -15,6 +15,7 @@
 import org.vanillacove.coordination.work.api.WorkerClient.Ended;
 import org.vanillacove.coordination.work.api.WorkerClient.OrderOutcome;
 import org.vanillacove.coordination.work.api.WorkerClient.Refusal;
+import org.vanillacove.coordination.work.api.WorkerClient.RenewalOutcome;
 import org.vanillacove.coordination.work.api.WorkerClient.Report;
 import org.vanillacove.coordination.work.api.WorkerClient.Running;
 import org.vanillacove.coordination.work.api.WorkerClient.StartOrder;
@@ -388,7 +389,7 @@
     client.renew(
         entry,
         new WorkerClient.Renewal(end, acknowledgedEnd, wait),
-        report -> reported(sent, report));
+        outcome -> reported(sent, outcome));
   }
 
   private void scheduleReport(Duration pause) {
@@ -397,22 +398,31 @@
     }
   }
 
-  private void reported(long sent, Optional<Report> report) {
+  private void reported(long sent, RenewalOutcome outcome) {
     reporting = false;
     if (closed) {
       return;
     }
-    if (report.isEmpty()) {
-      if (misses == 0) {
-        LOG.atInfo().log("workers: no report worker=%s runs=%d", id(), runs.size());
+    switch (outcome) {
+      case RenewalOutcome.Reported reported -> {
+        take(sent, reported.report());
+        long elapsed = timer.monotonicMillis() - sent;
+        scheduleReport(Duration.ofMillis(Math.max(0, REPORT_GAP_MILLIS - elapsed)));
       }
-      misses++;
-      scheduleReport(MISS_PAUSE);
-      return;
+      case RenewalOutcome.Fenced fenced -> {
+        LOG.atInfo().log("workers: obeys a newer leader worker=%s", id());
+        cell.fenced();
+      }
+      case RenewalOutcome.NoAnswer noAnswer -> missed();
+    }
+  }
+
+  private void missed() {
+    if (misses == 0) {
+      LOG.atInfo().log("workers: no report worker=%s runs=%d", id(), runs.size());
     }
-    take(sent, report.get());
-    long elapsed = timer.monotonicMillis() - sent;
-    scheduleReport(Duration.ofMillis(Math.max(0, REPORT_GAP_MILLIS - elapsed)));
+    misses++;
+    scheduleReport(MISS_PAUSE);
   }
 
   private void take(long sent, Report report) {
--- a/coordination/src/main/java/org/vanillacove/coordination/work/api/WorkerClient.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/api/WorkerClient.java
@@ -12,9 +12,9 @@
    *
    * @param worker the worker
    * @param call what to say
-   * @param done the worker's report, or empty if it did not answer
+   * @param done what came of it
    */
-  void renew(WorkerEntry worker, Renewal call, Consumer<Optional<Report>> done);
+  void renew(WorkerEntry worker, Renewal call, Consumer<RenewalOutcome> done);
 
   /** Starts a run; starting the same run again has no effect. */
   void start(WorkerEntry worker, StartOrder order, Consumer<OrderOutcome> done);
@@ -95,6 +95,22 @@
     ALONE
   }
 
+  /** What came of a renewal. */
+  sealed interface RenewalOutcome {
+    /**
+     * The worker reported.
+     *
+     * @param report its report
+     */
+    record Reported(Report report) implements RenewalOutcome {}
+
+    /** The worker obeys a newer leader. */
+    record Fenced() implements RenewalOutcome {}
+
+    /** No usable answer; the lease may have been renewed. */
+    record NoAnswer() implements RenewalOutcome {}
+  }
+
   /** What is known of an order. */
   sealed interface OrderOutcome {
     /**
--- a/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
@@ -6,7 +6,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -288,10 +287,10 @@
     }
 
     @Override
-    public void renew(WorkerEntry entry, Renewal call, Consumer<Optional<Report>> done) {
+    public void renew(WorkerEntry entry, Renewal call, Consumer<RenewalOutcome> done) {
       Worker worker = workers.get(entry.id());
       if (worker.cut) {
-        timer.after(TIMEOUT, () -> done.accept(Optional.empty()));
+        timer.after(TIMEOUT, () -> done.accept(new RenewalOutcome.NoAnswer()));
         return;
       }
       timer.after(
@@ -299,7 +298,7 @@
           () ->
               done.accept(
                   worker.cut || worker.entry.born() != entry.born()
-                      ? Optional.empty()
+                      ? new RenewalOutcome.NoAnswer()
                       : report(worker, call)));
     }
 
@@ -325,9 +324,9 @@
       }
     }
 
-    private Optional<Report> report(Worker worker, Renewal call) {
+    private RenewalOutcome report(Worker worker, Renewal call) {
       if (epoch < worker.highestEpoch) {
-        return Optional.empty();
+        return new RenewalOutcome.Fenced();
       }
       worker.highestEpoch = epoch;
       call.leaseEndMillis()
@@ -335,7 +334,7 @@
       acknowledge(worker, call.acknowledgedEnd());
       List<Running> running =
           worker.runs.values().stream().map(run -> new Running(run.task, run.number, "")).toList();
-      return Optional.of(
+      return new RenewalOutcome.Reported(
           new Report(clock(worker), worker.entry.born(), running, List.copyOf(worker.ended)));
     }
 
