--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.vanillacove.coordination.work.api.Adviser;
+import org.vanillacove.coordination.work.api.CancelOutcome;
 import org.vanillacove.coordination.work.api.JobStore;
 import org.vanillacove.coordination.work.api.JobView;
 import org.vanillacove.coordination.work.api.KeyedRecord;
@@ -88,7 +89,7 @@
   private final Map<String, List<Consumer<SubmitOutcome>>> submitting = new HashMap<>();
 
   /** Cancellations that wait to be durable. */
-  private final Map<String, List<Consumer<Boolean>>> cancelling = new HashMap<>();
+  private final Map<String, List<Consumer<CancelOutcome>>> cancelling = new HashMap<>();
 
   /** Monotonic time from which runs of former leaders are certainly over, in milliseconds. */
   private final long accountedMillis;
@@ -213,16 +214,16 @@
         .map(TrackedJob::view);
   }
 
-  /** Cancels a job; {@code done} gets true once that is durable, false if there is no such job. */
-  public void cancel(String id, Consumer<Boolean> done) {
+  /** Cancels a job; {@code done} is called once that is durable. */
+  public void cancel(String id, Consumer<CancelOutcome> done) {
     Optional<TrackedJob> found = jobs.find(id);
     if (found.isEmpty()) {
-      done.accept(false);
+      done.accept(CancelOutcome.NO_SUCH_JOB);
       return;
     }
     TrackedJob job = found.get();
     if (job.stage().isFinal()) {
-      done.accept(job.stage() == TrackedJob.Stage.CANCELLED);
+      done.accept(cancelOutcome(job.stage()));
       return;
     }
     cancelling.computeIfAbsent(id, key -> new ArrayList<>()).add(done);
@@ -251,6 +252,10 @@
         .flatMap(List::stream)
         .forEach(done -> done.accept(new SubmitOutcome.Unknown()));
     submitting.clear();
+    cancelling.values().stream()
+        .flatMap(List::stream)
+        .forEach(done -> done.accept(CancelOutcome.UNKNOWN));
+    cancelling.clear();
   }
 
   private Optional<QueuePolicy> queue(String name) {
@@ -270,10 +275,12 @@
   }
 
   private AdmissionPolicy.View view(JobSpec spec, QueuePolicy policy) {
-    long now = timer.monotonicMillis();
     double cores = 0;
     for (WorkerSession worker : workers.values()) {
-      if (worker.isUsable(now) && worker.entry().service().equals(policy.service())) {
+      // A worker that pauses or has not reported yet to a new leader is back within the slack.
+      if (worker.isListed()
+          && !worker.entry().draining()
+          && worker.entry().service().equals(policy.service())) {
         cores += worker.capacity().cpuMillis() / 1000.0;
       }
     }
@@ -336,20 +343,24 @@
     WorkerSession added = new WorkerSession(entry, events, client, timer, term.leaseMillis());
     workers.put(entry.id(), added);
     if (jobs.recordedWorkers().contains(entry.id())) {
-      added.recorded();
+      added.recorded(true);
     } else {
-      recorder.write(
-          JobRecords.WORKER + entry.id(),
-          () -> ByteString.copyFromUtf8(Long.toString(entry.born())),
-          () -> {
-            added.recorded();
-            changed();
-          });
+      recordWorker(added);
     }
     LOG.atInfo().log("workers: known worker=%s rack=%s", entry.id(), entry.rack());
     added.open();
   }
 
+  private void recordWorker(WorkerSession worker) {
+    recorder.write(
+        JobRecords.WORKER + worker.id(),
+        () -> ByteString.copyFromUtf8(Long.toString(worker.entry().born())),
+        () -> {
+          worker.recorded(true);
+          changed();
+        });
+  }
+
   private boolean isAccounted(TrackedJob job) {
     return !job.isInherited() || unaccounted.isEmpty();
   }
@@ -420,13 +431,19 @@
         durable,
         timer.monotonicMillis() - job.submittedMillis(),
         job.objectiveMillis());
-    List<Consumer<Boolean>> callers = cancelling.remove(job.id());
+    List<Consumer<CancelOutcome>> callers = cancelling.remove(job.id());
     if (callers != null) {
-      callers.forEach(caller -> caller.accept(durable == TrackedJob.Stage.CANCELLED));
+      callers.forEach(caller -> caller.accept(cancelOutcome(durable)));
     }
     changed();
   }
 
+  private static CancelOutcome cancelOutcome(TrackedJob.Stage durable) {
+    return durable == TrackedJob.Stage.CANCELLED
+        ? CancelOutcome.CANCELLED
+        : CancelOutcome.NO_SUCH_JOB;
+  }
+
   private void stopRuns(TrackedJob job) {
     for (TrackedStep step : job.steps()) {
       for (TrackedTask task : step.tasks()) {
@@ -560,6 +577,17 @@
       changed();
     }
 
+    @Override
+    public void silent(WorkerSession worker) {
+      worker.recorded(false);
+      recorder.write(JobRecords.WORKER + worker.id(), () -> ByteString.EMPTY, () -> {});
+    }
+
+    @Override
+    public void back(WorkerSession worker) {
+      recordWorker(worker);
+    }
+
     @Override
     public void saved(TaskName task, String checkpoint) {
       jobs.task(task).ifPresent(known -> known.saved(checkpoint));
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -151,6 +151,12 @@
     /** A start was refused and will not be carried out. */
     void refused(WorkerSession worker, TaskRun run, Refusal refusal);
 
+    /** The worker holds no lease any more, and gets none before it is recorded again. */
+    void silent(WorkerSession worker);
+
+    /** The worker, which held no lease, reports again. */
+    void back(WorkerSession worker);
+
     /** The newest progress of a run. */
     void saved(TaskName task, String checkpoint);
 
@@ -194,8 +200,8 @@
     return recorded;
   }
 
-  void recorded() {
-    recorded = true;
+  void recorded(boolean now) {
+    recorded = now;
   }
 
   boolean isListed() {
@@ -273,14 +279,16 @@
     }
   }
 
-  /** Ends all runs whose lease has certainly ended; returns whether there were any. */
+  /** Ends all runs if the lease has certainly ended. */
   void checkLapse(long nowMillis) {
-    if (misses > 0 && !runs.isEmpty() && nowMillis > lapseMillis()) {
-      LOG.atInfo().log(
-          "workers: lapsed worker=%s runs=%d silent_ms=%d",
-          id(), runs.size(), nowMillis - answeredMillis);
-      loseAll();
+    if (misses == 0 || !recorded || !isConfirmed() || nowMillis <= lapseMillis()) {
+      return;
     }
+    LOG.atInfo().log(
+        "workers: lapsed worker=%s runs=%d silent_ms=%d",
+        id(), runs.size(), nowMillis - answeredMillis);
+    loseAll();
+    cell.silent(this);
   }
 
   /** Counts a failed or completed run, to let workers rest that fail everything. */
@@ -381,7 +389,7 @@
       return;
     }
     reporting = true;
-    boolean trusted = isConfirmed() && misses == 0;
+    boolean trusted = isConfirmed() && misses == 0 && recorded;
     OptionalLong end = trusted ? OptionalLong.of(leaseTarget()) : OptionalLong.empty();
     end.ifPresent(millis -> leaseEndMillis = Math.max(leaseEndMillis, millis));
     long sent = timer.monotonicMillis();
@@ -445,6 +453,9 @@
     boolean wasUsable = isConfirmed() && misses == 0;
     if (misses > 0) {
       LOG.atInfo().log("workers: reports again worker=%s misses=%d", id(), misses);
+      if (isConfirmed() && !recorded) {
+        cell.back(this);
+      }
     }
     misses = 0;
     clockMillis = report.clockMillis();
--- a/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.vanillacove.coordination.work.api.CancelOutcome;
 import org.vanillacove.coordination.work.api.JobView;
 import org.vanillacove.coordination.work.api.SubmitOutcome;
 
@@ -70,16 +71,33 @@
     fixture.run(1_000);
     fixture.submit(CellFixture.job(ID, CellFixture.step(2, 1_000, 60_000, false, List.of())));
     fixture.run(1_000);
-    AtomicReference<Boolean> cancelled = new AtomicReference<>();
+    AtomicReference<CancelOutcome> cancelled = new AtomicReference<>();
     fixture.cell().cancel(ID, cancelled::set);
     fixture.run(1_500);
-    assertThat(cancelled.get()).isTrue();
+    assertThat(cancelled.get()).isEqualTo(CancelOutcome.CANCELLED);
     assertThat(fixture.workers.running()).isZero();
 
     fixture.lead();
     assertThat(fixture.cell().show(ID)).contains(JobView.CANCELLED);
   }
 
+  @Test
+  void callersAreAnsweredWhenTheTermEnds() {
+    CellFixture fixture = new CellFixture(1, false);
+    fixture.lead();
+    fixture.run(1_000);
+    fixture.submit(CellFixture.job(ID, CellFixture.step(2, 1_000, 60_000, false, List.of())));
+    fixture.run(1_000);
+    fixture.store.fault(FakeStore.Fault.SILENT);
+    AtomicReference<CancelOutcome> cancelled = new AtomicReference<>();
+    fixture.cell().cancel(ID, cancelled::set);
+    String second = "00000000000000a2";
+    fixture.submit(CellFixture.job(second, CellFixture.step(1, 1_000, 300, false, List.of())));
+    fixture.cell().close();
+    assertThat(cancelled.get()).isEqualTo(CancelOutcome.UNKNOWN);
+    assertThat(fixture.outcomes.get(second)).isInstanceOf(SubmitOutcome.Unknown.class);
+  }
+
   @Test
   void unknownJobIsNotShown() {
     CellFixture fixture = new CellFixture(1, false);
--- /dev/null
+++ b/deploy/build.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Builds what deploy/system.toml runs: the jars, and an archive of the classes that a start loads.
+# Everything goes below platform/target and the other modules' target folders.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mvn -B -ntp -q -pl platform -am -Dmaven.test.skip=true package
+cp platform/target/platform-*.jar platform/target/lib/
+rm -f platform/target/platform.jsa
+# The options that decide what an archive fits must be those of the run command.
+/usr/lib/jvm/temurin-25-jdk-amd64/bin/java -XX:ArchiveClassesAtExit=platform/target/platform.jsa \
+  -Xms40m -Xmx96m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:+UseCompactObjectHeaders \
+  --enable-native-access=ALL-UNNAMED --sun-misc-unsafe-memory-access=allow \
+  -Dio.netty.machineId=02:00:00:00:00:01 -Dcom.linecorp.armeria.transportType=nio \
+  -Djava.util.logging.config.file=deploy/logging.properties \
+  -cp 'platform/target/lib/*' org.vanillacove.platform.PlatformMain --train \
+  > platform/target/train.log 2>&1
