--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -9,7 +9,7 @@
 # The options that decide what an archive fits must be those of the run command.
 /usr/lib/jvm/temurin-25-jdk-amd64/bin/java -XX:ArchiveClassesAtExit=platform/target/platform.jsa \
   -Xms40m -Xmx96m -Xss256k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:+UseCompactObjectHeaders \
-  --enable-native-access=ALL-UNNAMED --sun-misc-unsafe-memory-access=allow \
+  --sun-misc-unsafe-memory-access=allow \
   -Dio.netty.machineId=02:00:00:00:00:01 -Dcom.linecorp.armeria.transportType=nio \
   -Djava.util.logging.config.file=deploy/logging.properties \
   -cp 'platform/target/lib/*' org.vanillacove.platform.PlatformMain --train \
