--- a/coordination/src/main/java/org/vanillacove/coordination/work/TaskRun.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/TaskRun.java
@@ -20,6 +20,12 @@
   /** Monotonic time of the answer that settled the phase, in milliseconds. */
   private long answeredMillis = Long.MAX_VALUE;
 
+  /** Share of its work that the worker reported last. */
+  private int percent = -1;
+
+  /** Monotonic time at which that share last changed, in milliseconds. */
+  private long progressMillis;
+
   /** Creates a run in {@code phase}. */
   TaskRun(TaskName task, int number, Resources demand, Phase phase) {
     this.task = task;
@@ -80,6 +86,15 @@
     return phase == Phase.STOPPING && answeredMillis != Long.MAX_VALUE;
   }
 
+  /** Takes the share of work done; returns the time for which it has not changed. */
+  long stalledMillis(int newPercent, long nowMillis) {
+    if (newPercent != percent) {
+      percent = newPercent;
+      progressMillis = nowMillis;
+    }
+    return nowMillis - progressMillis;
+  }
+
   /** Returns whether a list asked for at {@code sentMillis} must show the run if it exists. */
   boolean isSettledBefore(long sentMillis) {
     return phase != Phase.ORDERED && answeredMillis < sentMillis;
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -588,6 +588,13 @@
       recordWorker(worker);
     }
 
+    @Override
+    public boolean isGang(TaskName task) {
+      return jobs.find(task.job()).stream()
+          .flatMap(job -> job.steps().stream())
+          .anyMatch(step -> step.index() == task.step() && step.spec().gang());
+    }
+
     @Override
     public void saved(TaskName task, String checkpoint) {
       jobs.task(task).ifPresent(known -> known.saved(checkpoint));
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -59,6 +59,14 @@
   /** Failed runs in a row after which a worker rests. */
   private static final int FAILURES_IN_ROW = 3;
 
+  /**
+   * Time without progress after which a run counts as stalled; beyond a restore and a gang's wait.
+   */
+  private static final long STALLED_MILLIS = 4_000;
+
+  /** The same for a task that needs no others and so progresses from its start. */
+  private static final long STALLED_ALONE_MILLIS = 1_500;
+
   /** Time without new starts after that many failures in a row. */
   private static final long FAILING_PAUSE_MILLIS = 4_000;
 
@@ -157,6 +165,9 @@
     /** The worker, which held no lease, reports again. */
     void back(WorkerSession worker);
 
+    /** Returns whether the task works only together with others. */
+    boolean isGang(TaskName task);
+
     /** The newest progress of a run. */
     void saved(TaskName task, String checkpoint);
 
@@ -502,6 +513,8 @@
       } else if (run.phase() == TaskRun.Phase.ORDERED) {
         run.running(timer.monotonicMillis());
         cell.started(this, run);
+      } else if (run.phase() == TaskRun.Phase.RUNNING) {
+        checkProgress(run, each.percent());
       }
       cell.saved(each.task(), each.checkpoint());
     }
@@ -513,6 +526,19 @@
     }
   }
 
+  /** Stops a run that stands still, so that it starts elsewhere, and lets the worker rest. */
+  private void checkProgress(TaskRun run, int percent) {
+    long stalled = run.stalledMillis(percent, timer.monotonicMillis());
+    long limit = cell.isGang(run.task()) ? STALLED_MILLIS : STALLED_ALONE_MILLIS;
+    if (stalled > limit) {
+      LOG.atInfo().log(
+          "workers: stalled worker=%s task=%s run=%d percent=%d stalled_ms=%d",
+          id(), run.task(), run.number(), percent, stalled);
+      pause(FAILING_PAUSE_MILLIS);
+      stop(run.task(), run.number());
+    }
+  }
+
   private void takeFound(Running running) {
     Found found = cell.found(this, running);
     TaskRun run = new TaskRun(running.task(), running.run(), found.demand(), TaskRun.Phase.RUNNING);
--- a/coordination/src/main/java/org/vanillacove/coordination/work/api/WorkerClient.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/api/WorkerClient.java
@@ -65,8 +65,9 @@
    * @param task the task
    * @param run number of the run
    * @param checkpoint newest saved progress, empty for none
+   * @param percent share of its work that is done
    */
-  record Running(TaskName task, int run, String checkpoint) {}
+  record Running(TaskName task, int run, String checkpoint, int percent) {}
 
   /**
    * A run that ended.
--- a/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
@@ -80,6 +80,7 @@
     private final Map<TaskName, Integer> blocked = new HashMap<>();
     private boolean cut;
     private boolean late;
+    private boolean hanging;
   }
 
   void add(String id, Resources capacity, String rack) {
@@ -116,6 +117,11 @@
     workers.get(id).late = late;
   }
 
+  /** Lets all that runs on a worker stand still, or go on. */
+  void hang(String id, boolean hanging) {
+    workers.get(id).hanging = hanging;
+  }
+
   /** Ends a worker's life; it begins another one under the same id. */
   void crash(String id) {
     Worker worker = workers.get(id);
@@ -192,7 +198,7 @@
       }
       return;
     }
-    run.workedMillis += 20;
+    run.workedMillis += worker.hanging ? 0 : 20;
     if (run.workedMillis >= run.step.estimateMillis()) {
       boolean failed = random.nextDouble() < failureShare;
       end(worker, run, failed ? WorkerClient.EndCause.FAILED : WorkerClient.EndCause.DONE);
@@ -333,7 +339,9 @@
           .ifPresent(end -> worker.leaseEndMillis = Math.max(worker.leaseEndMillis, end));
       acknowledge(worker, call.acknowledgedEnd());
       List<Running> running =
-          worker.runs.values().stream().map(run -> new Running(run.task, run.number, "")).toList();
+          worker.runs.values().stream()
+              .map(run -> new Running(run.task, run.number, "", (int) (run.workedMillis / 20)))
+              .toList();
       return new RenewalOutcome.Reported(
           new Report(clock(worker), worker.entry.born(), running, List.copyOf(worker.ended)));
     }
--- a/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellTest.java
@@ -133,6 +133,19 @@
     assertThat(fixture.workers.violations()).isEmpty();
   }
 
+  @Test
+  void tasksThatStandStillStartElsewhere() {
+    CellFixture fixture = new CellFixture(1, false);
+    fixture.lead();
+    fixture.run(1_000);
+    fixture.workers.hang("w0", true);
+    fixture.workers.hang("w1", true);
+    fixture.submit(CellFixture.job(ID, CellFixture.step(4, 8_000, 1_000, false, List.of())));
+    fixture.run(7_000);
+    assertThat(fixture.cell().show(ID)).contains(JobView.COMPLETED);
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
   @ParameterizedTest
   @EnumSource(
       value = FakeStore.Fault.class,
