--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobRecorder.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobRecorder.java
@@ -206,7 +206,8 @@
           timer.after(REPEAT_PAUSE, this::sendAgain);
         }
       }
-      case UNKNOWN -> {
+      default -> {
+        // Unknown: it may have taken effect, or may yet.
         LOG.atInfo().log("store: append sequence=%d outcome=unknown", sequence);
         uncertain = true;
         reportUnknown();
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -476,7 +476,9 @@
     switch (end.cause()) {
       case DONE -> done(worker, job, step, task, end.run());
       case FAILED -> failed(worker, job, step, task, end.run());
-      case STOPPED, LAPSED, BROKEN, ALONE -> {}
+      default -> {
+        // Stopped, lapsed, broken or alone: the task waits again, and no attempt is used up.
+      }
     }
   }
 
--- a/coordination/src/test/java/org/vanillacove/coordination/work/FakeStore.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/FakeStore.java
@@ -72,7 +72,8 @@
         land(writer, sequence, records);
         timer.after(TIMEOUT, () -> done.accept(JobStore.Outcome.UNKNOWN));
       }
-      case LANDS_LATE -> {
+      default -> {
+        // The append lands long after its caller gave up.
         timer.after(TIMEOUT.multipliedBy(5), () -> land(writer, sequence, records));
         timer.after(TIMEOUT, () -> done.accept(JobStore.Outcome.UNKNOWN));
       }
