--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -135,8 +136,9 @@
    *
    * @param leaseMillis length of leases
    * @param fenced called when a newer leader is found
+   * @param metrics counts decisions
    */
-  public record Term(long leaseMillis, Runnable fenced) {}
+  public record Term(long leaseMillis, Runnable fenced, CellMetrics metrics) {}
 
   /** Takes in all durable records; called once, before anything else. */
   public void load(List<KeyedRecord> records) {
@@ -201,6 +203,7 @@
           spec.queue(),
           rejection.get().reason(),
           rejection.get().retryAfter().toMillis());
+      term.metrics().rejected(rejection.get().reason());
       done.accept(rejection.get());
       return;
     }
@@ -319,6 +322,12 @@
           case NOT_STORED -> new SubmitOutcome.Rejected("store away", STORE_AWAY_RETURN);
           case UNKNOWN -> new SubmitOutcome.Unknown();
         };
+    long millis = timer.monotonicMillis() - job.submittedMillis();
+    if (fate == JobRecorder.Fate.STORED) {
+      term.metrics().accepted(millis);
+    } else {
+      term.metrics().rejected("acceptance " + fate.name().toLowerCase(Locale.ROOT));
+    }
     if (fate == JobRecorder.Fate.STORED && job.stage() == TrackedJob.Stage.ACCEPTING) {
       job.stage(TrackedJob.Stage.OPEN);
       changed();
@@ -327,7 +336,7 @@
     }
     LOG.atInfo().log(
         "jobs: accept job=%s queue=%s outcome=%s ms=%d",
-        job.id(), job.spec().queue(), fate, timer.monotonicMillis() - job.submittedMillis());
+        job.id(), job.spec().queue(), fate, millis);
     List<Consumer<SubmitOutcome>> callers = submitting.remove(job.id());
     if (callers != null) {
       callers.forEach(caller -> caller.accept(outcome));
@@ -424,6 +433,7 @@
     job.stage(durable);
     jobs.finished(job);
     stopRuns(job);
+    term.metrics().finished(durable, timer.monotonicMillis() - job.submittedMillis());
     LOG.atInfo().log(
         "jobs: end job=%s queue=%s outcome=%s ms=%d objective_ms=%d",
         job.id(),
@@ -465,6 +475,7 @@
     task.seenRun(end.run());
     task.saved(end.checkpoint());
     task.release(end.run());
+    term.metrics().run(end.cause());
     if (end.cause() != WorkerClient.EndCause.DONE) {
       LOG.atInfo().log(
           "jobs: run ended task=%s run=%d cause=%s worker=%s",
@@ -562,7 +573,14 @@
 
     @Override
     public void started(WorkerSession worker, TaskRun run) {
-      jobs.find(run.task().job()).ifPresent(TrackedJob::started);
+      term.metrics().run(run.phase());
+      jobs.find(run.task().job()).ifPresent(job -> started(job, run));
+    }
+
+    private void started(TrackedJob job, TaskRun run) {
+      job.started();
+      long readySince = job.steps().get(run.task().step()).readySinceMillis();
+      term.metrics().placed(timer.monotonicMillis() - readySince);
     }
 
     @Override
@@ -570,6 +588,7 @@
       LOG.atInfo().log(
           "jobs: start refused task=%s run=%d worker=%s refusal=%s",
           run.task(), run.number(), worker.id(), refusal);
+      term.metrics().run(refusal);
       jobs.task(run.task()).ifPresent(task -> task.release(run.number()));
       if (refusal == Refusal.TICKET) {
         jobs.find(run.task().job())
--- a/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
@@ -1,5 +1,6 @@
 package org.vanillacove.coordination.work;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -25,6 +26,8 @@
   final FakeStore store = new FakeStore(timer);
   final FakeWorkers workers;
   final Map<String, SubmitOutcome> outcomes = new HashMap<>();
+  final SimpleMeterRegistry registry = new SimpleMeterRegistry();
+  private final CellMetrics metrics = new CellMetrics(registry);
   private final boolean advised;
   private long epoch;
   private WorkCell cell;
@@ -44,7 +47,7 @@
     epoch++;
     cell =
         new WorkCell(
-            new WorkCell.Term(LEASE_MILLIS, () -> {}),
+            new WorkCell.Term(LEASE_MILLIS, () -> {}, metrics),
             timer,
             store.open(epoch),
             workers.client(epoch),
--- a/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
@@ -39,6 +40,21 @@
     assertThat(fixture.workers.starts()).isEqualTo(7);
   }
 
+  @Test
+  void decisionsAreCounted() {
+    CellFixture fixture = new CellFixture(1, false);
+    fixture.lead();
+    fixture.run(1_000);
+    fixture.submit(CellFixture.job(ID, CellFixture.step(2, 1_000, 300, false, List.of())));
+    fixture.run(3_000);
+    MeterRegistry registry = fixture.registry;
+    assertThat(registry.counter("jobs.submitted", "outcome", "accepted").count()).isEqualTo(1);
+    assertThat(registry.counter("runs", "outcome", "running").count()).isEqualTo(2);
+    assertThat(registry.counter("runs", "outcome", "done").count()).isEqualTo(2);
+    assertThat(registry.counter("jobs.ended", "outcome", "completed").count()).isEqualTo(1);
+    assertThat(registry.get("steps.placement").timer().count()).isEqualTo(2);
+  }
+
   @Test
   void repeatedSubmissionStaysOneJob() {
     CellFixture fixture = new CellFixture(1, false);
