Send advice calls before the last is answered, on-time steps first

Each host made one call for advice at a time, so a leader far from the adviser made about eight calls a second and host, and the waiting calls were served by deadline: late steps held up those that could still be on time.

Change: a host sends further short calls while the adviser has at most 120 ms of work from it; long calls only to idle hosts. Calls wait in the order of service. An answer is awaited for the adviser's work and 500 ms, not 3.5 s.

Ruled out: placement, which had free workers. Left: the windows of the changes of leader and of the loss of power.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/AdviceDesk.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/AdviceDesk.java
@@ -1,39 +1,39 @@
 package org.vanillacove.coordination.work;
 
 import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.vanillacove.coordination.work.api.Adviser;
 import org.vanillacove.protocol.timer.TimerService;
+import org.vanillacove.state.work.AdviceRoute;
 import org.vanillacove.state.work.QueuePolicy;
+import org.vanillacove.state.work.ServiceOrder;
 
 /**
- * Spreads calls for advice over the hosts, one at a time for each, since the adviser serves each
- * host in turn. The load it answers: long calls for large steps would hold up the short calls of
- * small ones, so some hosts never make long calls.
+ * Spreads calls for advice over the hosts. Calls wait in the order in which their steps are served,
+ * so that steps that can still be on time are not held up by late ones.
  */
 final class AdviceDesk {
   /** Log of advice. */
   private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
 
-  /** Time of a call from which it counts as long. */
-  private static final double LONG_CALL_MILLIS = 300;
-
-  /** Hosts that never make long calls, where there are more than this many. */
-  private static final int HOSTS_FOR_SHORT_CALLS = 3;
-
   /** Time by which a ticket is used before its end: an order's way to the worker and a margin. */
   private static final long TICKET_MARGIN_MILLIS = 200;
 
   /** Time for which a host that got no answer makes no calls. */
   private static final long HOST_PAUSE_MILLIS = 1_000;
 
+  /** Time for an answer beyond the adviser's work: the way by a peer in another region, twice. */
+  private static final double ANSWER_MARGIN_MILLIS = 500;
+
+  /** Share of a new sample in the distance of a host. */
+  private static final double DISTANCE_GAIN = 0.2;
+
   /** The adviser. */
   private final Adviser adviser;
 
@@ -46,11 +46,8 @@
   /** Calls that wait for a host. */
   private final List<Call> waiting = new ArrayList<>();
 
-  /** Hosts that make a call now. */
-  private final Set<String> busy = new HashSet<>();
-
-  /** Monotonic time until which a host makes no calls. */
-  private final Map<String, Long> paused = new HashMap<>();
+  /** What is known of each host that has made a call. */
+  private final Map<String, HostState> hosts = new HashMap<>();
 
   /** Long calls under way. */
   private int longCalls;
@@ -62,6 +59,21 @@
     this.answered = answered;
   }
 
+  /** Calls of one host. */
+  private static final class HostState {
+    /** Calls that were sent and not answered. */
+    private int calls;
+
+    /** Time that the adviser takes for them, in milliseconds. */
+    private double workMillis;
+
+    /** Smoothed time that calls take beyond the adviser's work, in milliseconds. */
+    private double distanceMillis;
+
+    /** Monotonic time until which the host makes no calls, in milliseconds. */
+    private long pausedUntilMillis;
+  }
+
   /**
    * A call that waits or is under way.
    *
@@ -78,8 +90,8 @@
           .orElse(0.0);
     }
 
-    boolean isLong() {
-      return millis() > LONG_CALL_MILLIS;
+    ServiceOrder.Waiting waiting() {
+      return job.waiting(step, policy);
     }
   }
 
@@ -87,51 +99,77 @@
   void ask(TrackedJob job, TrackedStep step, QueuePolicy policy, List<String> workers) {
     step.advice().pending(true);
     waiting.add(new Call(job, step, policy, List.copyOf(workers)));
-    waiting.sort(
-        Comparator.comparingInt((Call call) -> call.policy().priority())
-            .thenComparingLong(
-                call -> call.job().submittedMillis() + call.job().objectiveMillis()));
     serve();
   }
 
   /** Makes the calls for which hosts are free. */
   void serve() {
-    List<Call> dropped = waiting.stream().filter(call -> call.job().stage().isFinal()).toList();
+    List<Call> dropped = waiting.stream().filter(call -> !call.job().isOpen()).toList();
     dropped.forEach(call -> call.step().advice().pending(false));
     waiting.removeAll(dropped);
+    if (waiting.isEmpty()) {
+      return;
+    }
     long now = timer.monotonicMillis();
-    List<String> hosts = adviser.hosts();
-    List<String> free =
-        new ArrayList<>(
-            hosts.stream()
-                .filter(host -> !busy.contains(host) && paused.getOrDefault(host, 0L) <= now)
-                .toList());
-    int longLimit = Math.max(1, hosts.size() - HOSTS_FOR_SHORT_CALLS);
+    waiting.sort(Comparator.comparing(Call::waiting, ServiceOrder.at(now)));
+    List<String> able =
+        adviser.hosts().stream().filter(host -> state(host).pausedUntilMillis <= now).toList();
+    boolean shortBlocked = false;
+    boolean longBlocked = false;
     for (Call call : List.copyOf(waiting)) {
-      if (free.isEmpty()) {
-        return;
-      }
-      if (!call.isLong() || longCalls < longLimit) {
-        waiting.remove(call);
-        make(free.removeLast(), call);
+      boolean isLong = AdviceRoute.isLong(call.millis());
+      if (isLong ? longBlocked : shortBlocked) {
+        continue;
       }
+      Optional<AdviceRoute.Caller> caller =
+          AdviceRoute.choose(call.millis(), callers(able), longCalls);
+      longBlocked |= isLong && caller.isEmpty();
+      shortBlocked |= !isLong && caller.isEmpty();
+      caller.ifPresent(
+          chosen -> {
+            waiting.remove(call);
+            make(chosen.name(), call);
+          });
     }
   }
 
+  private HostState state(String host) {
+    return hosts.computeIfAbsent(host, name -> new HostState());
+  }
+
+  private List<AdviceRoute.Caller> callers(List<String> able) {
+    return able.stream()
+        .map(
+            host -> {
+              HostState state = state(host);
+              return new AdviceRoute.Caller(
+                  host, state.calls, state.workMillis, state.distanceMillis);
+            })
+        .toList();
+  }
+
   private void make(String host, Call call) {
-    busy.add(host);
-    longCalls += call.isLong() ? 1 : 0;
+    HostState state = state(host);
+    state.calls++;
+    state.workMillis += call.millis();
+    longCalls += AdviceRoute.isLong(call.millis()) ? 1 : 0;
+    double expectedMillis = state.workMillis;
+    long sent = timer.monotonicMillis();
     adviser.ask(
         host,
-        call.job().id(),
-        call.step().index(),
-        call.workers(),
-        tickets -> answer(host, call, tickets));
+        new Adviser.Question(call.job().id(), call.step().index(), call.workers()),
+        Duration.ofMillis((long) (expectedMillis + ANSWER_MARGIN_MILLIS)),
+        tickets -> {
+          state.calls--;
+          state.workMillis = state.calls == 0 ? 0 : state.workMillis - call.millis();
+          double distance = Math.max(0, timer.monotonicMillis() - sent - expectedMillis);
+          state.distanceMillis += DISTANCE_GAIN * (distance - state.distanceMillis);
+          answer(host, call, tickets);
+        });
   }
 
   private void answer(String host, Call call, Optional<Map<String, String>> tickets) {
-    busy.remove(host);
-    longCalls -= call.isLong() ? 1 : 0;
+    longCalls -= AdviceRoute.isLong(call.millis()) ? 1 : 0;
     call.step().advice().pending(false);
     long now = timer.monotonicMillis();
     if (tickets.isPresent()) {
@@ -143,7 +181,7 @@
       LOG.atInfo().log(
           "advice: no answer host=%s job=%s step=%d workers=%d",
           host, call.job().id(), call.step().index(), call.workers().size());
-      paused.put(host, now + HOST_PAUSE_MILLIS);
+      state(host).pausedUntilMillis = now + HOST_PAUSE_MILLIS;
     }
     serve();
     answered.run();
--- a/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
@@ -123,13 +123,7 @@
     for (TrackedStep step : job.steps()) {
       if (!step.waiting().isEmpty() && job.isReady(step)) {
         step.ready(now);
-        ServiceOrder.Waiting waiting =
-            new ServiceOrder.Waiting(
-                policy.priority(),
-                job.submittedMillis(),
-                job.objectiveMillis(),
-                job.remainingMillis(step));
-        candidates.add(new Candidate(job, step, policy, waiting));
+        candidates.add(new Candidate(job, step, policy, job.waiting(step, policy)));
       }
     }
   }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/TrackedJob.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/TrackedJob.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import org.vanillacove.coordination.work.api.JobView;
 import org.vanillacove.state.work.JobSpec;
+import org.vanillacove.state.work.QueuePolicy;
+import org.vanillacove.state.work.ServiceOrder;
 import org.vanillacove.state.work.StepSpec;
 
 /** A job that was handed in, and its progress. */
@@ -127,6 +129,17 @@
     return remaining;
   }
 
+  /** Returns whether it is accepted or being accepted, and not being ended. */
+  boolean isOpen() {
+    return stage == Stage.ACCEPTING || stage == Stage.OPEN;
+  }
+
+  /** Returns what decides the turn of {@code step}. */
+  ServiceOrder.Waiting waiting(TrackedStep step, QueuePolicy policy) {
+    return new ServiceOrder.Waiting(
+        policy.priority(), submittedMillis, objectiveMillis, remainingMillis(step));
+  }
+
   /** Returns the declared work that has not started, in milliseconds of one core. */
   long waitingCoreMillis() {
     long total = 0;
--- a/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
@@ -2,7 +2,6 @@
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -107,13 +106,12 @@
     @Override
     public void ask(
         String host,
-        String job,
-        int step,
-        List<String> asked,
+        Question question,
+        Duration timeout,
         Consumer<Optional<Map<String, String>>> done) {
       Map<String, String> good = new HashMap<>();
-      for (String worker : new ArrayList<>(asked)) {
-        if (Math.floorMod((job + step + worker).hashCode(), 6) < 4) {
+      for (String worker : question.workers()) {
+        if (Math.floorMod((question.job() + question.step() + worker).hashCode(), 6) < 4) {
           good.put(worker, "ticket");
         }
       }
