--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobTable.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobTable.java
@@ -1,8 +1,11 @@
 package org.vanillacove.coordination.work;
 
 import com.google.protobuf.ByteString;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -29,6 +32,17 @@
   /** Workers that may hold runs of a former leader, by the records. */
   private final Set<String> recordedWorkers = new HashSet<>();
 
+  /** Finished jobs, those that ended first at the head. */
+  private final Deque<Finished> finished = new ArrayDeque<>();
+
+  /**
+   * A finished job.
+   *
+   * @param job the job
+   * @param endMillis monotonic time at which its end was known here
+   */
+  private record Finished(TrackedJob job, long endMillis) {}
+
   Optional<TrackedJob> find(String id) {
     return Optional.ofNullable(jobs.get(id));
   }
@@ -62,8 +76,22 @@
   }
 
   /** Notes that {@code job} has its durable end. */
-  void finished(TrackedJob job) {
+  void finished(TrackedJob job, long nowMillis) {
     open.remove(job);
+    finished.addLast(new Finished(job, nowMillis));
+  }
+
+  /** Forgets the jobs that ended before {@code endMillis}, {@code most} at a time. */
+  List<TrackedJob> forget(long endMillis, int most) {
+    List<TrackedJob> forgotten = new ArrayList<>();
+    while (forgotten.size() < most
+        && !finished.isEmpty()
+        && finished.peekFirst().endMillis() < endMillis) {
+      TrackedJob job = finished.removeFirst().job();
+      jobs.remove(job.id(), job);
+      forgotten.add(job);
+    }
+    return forgotten;
   }
 
   /**
@@ -107,7 +135,9 @@
       TrackedJob known = jobs.get(id);
       JobSpec spec = known == null ? new JobSpec(id, "", "", List.of()) : known.spec();
       open.remove(known);
-      jobs.put(id, new TrackedJob(spec, nowMillis, 0, stage, true));
+      TrackedJob ended = new TrackedJob(spec, nowMillis, 0, stage, true);
+      jobs.put(id, ended);
+      finished.addLast(new Finished(ended, nowMillis));
       return;
     }
     for (WorkTaskMessage each : message.getTasksList()) {
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -50,6 +50,12 @@
   /** Longest time for which a former leader renews leases after a newer claim. */
   private static final long FORMER_LEADER_MILLIS = 3_500;
 
+  /** Time beyond the users' bound for which a finished job stays known. */
+  private static final long STATUS_MARGIN_MILLIS = 10_000;
+
+  /** Most jobs forgotten in one check, so that their records spread over several appends. */
+  private static final int MOST_FORGOTTEN = 100;
+
   /** Slowest rate of a worker's clock against ours. */
   private static final double SLOWEST_CLOCK = 0.98;
 
@@ -135,10 +141,11 @@
    * Fixed properties of a term.
    *
    * @param leaseMillis length of leases
+   * @param statusMillis time for which a finished job stays known
    * @param fenced called when a newer leader is found
    * @param metrics counts decisions
    */
-  public record Term(long leaseMillis, Runnable fenced, CellMetrics metrics) {}
+  public record Term(long leaseMillis, long statusMillis, Runnable fenced, CellMetrics metrics) {}
 
   /** Takes in all durable records; called once, before anything else. */
   public void load(List<KeyedRecord> records) {
@@ -385,6 +392,10 @@
       unaccounted.clear();
     }
     workers.values().removeIf(this::isGone);
+    jobs.forget(now - term.statusMillis() - STATUS_MARGIN_MILLIS, MOST_FORGOTTEN)
+        .forEach(
+            job ->
+                recorder.write(JobRecords.PROGRESS + job.id(), () -> ByteString.EMPTY, () -> {}));
     advice.serve();
     changed();
   }
@@ -431,7 +442,7 @@
 
   private void finished(TrackedJob job, TrackedJob.Stage durable) {
     job.stage(durable);
-    jobs.finished(job);
+    jobs.finished(job, timer.monotonicMillis());
     stopRuns(job);
     term.metrics().finished(durable, timer.monotonicMillis() - job.submittedMillis());
     LOG.atInfo().log(
--- a/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
@@ -19,6 +19,7 @@
 /** A cell over fakes in virtual time, whose leader can be replaced. */
 final class CellFixture {
   static final String QUEUE = "plans";
+  static final long STATUS_MILLIS = 120_000;
   private static final long LEASE_MILLIS = 6_000;
 
   final ManualTimerService timer = new ManualTimerService(0);
@@ -46,7 +47,7 @@
     epoch++;
     cell =
         new WorkCell(
-            new WorkCell.Term(LEASE_MILLIS, () -> {}, metrics),
+            new WorkCell.Term(LEASE_MILLIS, STATUS_MILLIS, () -> {}, metrics),
             timer,
             store.open(epoch),
             workers.client(epoch),
--- a/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.vanillacove.coordination.work.api.CancelOutcome;
 import org.vanillacove.coordination.work.api.JobView;
+import org.vanillacove.coordination.work.api.KeyedRecord;
 import org.vanillacove.coordination.work.api.SubmitOutcome;
 
 /** Checks the life of jobs over fakes. */
@@ -121,6 +122,20 @@
     assertThat(fixture.cell().show(ID)).isEqualTo(Optional.empty());
   }
 
+  @Test
+  void finishedJobIsForgottenAfterItsTime() {
+    CellFixture fixture = new CellFixture(1, false);
+    fixture.lead();
+    fixture.run(1_000);
+    fixture.submit(CellFixture.job(ID, CellFixture.step(1, 1_000, 200, false, List.of())));
+    fixture.run(CellFixture.STATUS_MILLIS);
+    assertThat(fixture.cell().show(ID)).contains(JobView.COMPLETED);
+    fixture.run(15_000);
+    assertThat(fixture.cell().show(ID)).isEmpty();
+    assertThat(fixture.store.records().stream().map(KeyedRecord::key))
+        .noneMatch(key -> key.endsWith(ID));
+  }
+
   @Test
   void newLeaderTakesOverRunsWithoutStartingThemAgain() {
     CellFixture fixture = new CellFixture(1, false);
