Overlap appends of jobs' records while the store is slow

Quick jobs, with a second of slack, were late.

Change: up to four appends are under way, 25 ms apart, each with the next sequence number, so the store keeps their order; a healthy store, which answers sooner, sees one at a time as before. An append that arrives before its predecessor is sent again after it. Values are taken once for each append, since a later one may hold newer values.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobRecorder.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobRecorder.java
@@ -3,11 +3,15 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.vanillacove.coordination.work.api.JobStore;
@@ -15,9 +19,10 @@
 import org.vanillacove.protocol.timer.TimerService;
 
 /**
- * Writes records in groups: one append is under way at a time, and what comes meanwhile goes into
- * the next. An append of unknown fate is repeated with the same sequence number until its fate is
- * known, so that no later record overtakes it.
+ * Writes records in groups. While the store is slow, a few appends are under way at once, each with
+ * the next sequence number, so that the store keeps their order. An append of unknown fate is
+ * repeated with the same sequence number until its fate is known, so that no later record overtakes
+ * it.
  */
 final class JobRecorder {
   /** Log of the store. */
@@ -26,12 +31,24 @@
   /** Most entries of one append; keeps a call far below the store's largest request. */
   private static final int MOST_ENTRIES = 300;
 
+  /** Most appends under way; the store recognises repeats of the last five. */
+  private static final int MOST_APPENDS = 4;
+
+  /** Time between appends under way: several answers of a healthy store, which so has one. */
+  private static final long APPEND_GAP_MILLIS = 25;
+
   /** Pause before an append is repeated; a few answers of a healthy store. */
   private static final Duration REPEAT_PAUSE = Duration.ofMillis(120);
 
+  /** Pause before an append that came before its predecessor is repeated. */
+  private static final Duration ORDER_PAUSE = Duration.ofMillis(20);
+
   /** Age of an append at which the store counts as away, and acceptances are answered. */
   private static final long AWAY_MILLIS = 700;
 
+  /** What is written in place of records that were given up; it keeps the sequence unbroken. */
+  private static final KeyedRecord NOTHING = new KeyedRecord("none", ByteString.EMPTY);
+
   /** The store. */
   private final JobStore store;
 
@@ -42,22 +59,16 @@
   private final Runnable fenced;
 
   /** Entries for the next append. */
-  private List<Entry> pending = new ArrayList<>();
+  private final Deque<Entry> pending = new ArrayDeque<>();
 
-  /** Entries of the append under way; empty if there is none. */
-  private List<Entry> current = List.of();
+  /** Appends under way, in the order of their sequence numbers. */
+  private final Deque<Batch> batches = new ArrayDeque<>();
 
-  /** Records of the append under way. */
-  private List<KeyedRecord> currentRecords = List.of();
+  /** Sequence number of the next append. */
+  private int nextSequence;
 
-  /** Sequence number of the append under way or the next one. */
-  private int sequence;
-
-  /** Monotonic time at which the append under way was first sent, in milliseconds. */
-  private long sentMillis;
-
-  /** Whether an earlier try of the append under way may have taken effect, or may yet. */
-  private boolean uncertain;
+  /** Whether a look at the pending entries is due. */
+  private boolean flushDue;
 
   /** Whether nothing more is written. */
   private boolean closed;
@@ -104,6 +115,52 @@
     }
   }
 
+  /** One append under way. */
+  private static final class Batch {
+    /** Its sequence number. */
+    private final int sequence;
+
+    /** Its entries. */
+    private final List<Entry> entries;
+
+    /** Its records; values are taken once, since a later append may hold newer ones. */
+    private List<KeyedRecord> records;
+
+    /** Monotonic time at which it was first sent, in milliseconds. */
+    private final long sentMillis;
+
+    /** Whether an earlier try may have taken effect, or may yet. */
+    private boolean uncertain;
+
+    /** Whether it came before its predecessor and waits for that one to be durable. */
+    private boolean early;
+
+    /** Whether it is durable. */
+    private boolean stored;
+
+    Batch(int sequence, List<Entry> entries, long sentMillis) {
+      this.sequence = sequence;
+      this.entries = entries;
+      this.sentMillis = sentMillis;
+      Map<String, KeyedRecord> newest = new LinkedHashMap<>();
+      for (Entry entry : entries) {
+        entry.key.ifPresent(key -> newest.put(key, new KeyedRecord(key, entry.value.get())));
+      }
+      records = newest.isEmpty() ? List.of(NOTHING) : List.copyOf(newest.values());
+    }
+
+    /** Leaves out entries that nobody must keep, and returns them. */
+    List<Entry> giveUpOptional() {
+      List<Entry> dropped = entries.stream().filter(entry -> entry.optional).toList();
+      Set<String> keys = new HashSet<>();
+      dropped.forEach(entry -> entry.key.ifPresent(keys::add));
+      entries.removeAll(dropped);
+      List<KeyedRecord> left = records.stream().filter(each -> !keys.contains(each.key())).toList();
+      records = left.isEmpty() ? List.of(NOTHING) : left;
+      return dropped;
+    }
+  }
+
   /** Writes a record; it is repeated until it is durable. */
   void write(String key, Supplier<ByteString> value, Runnable stored) {
     add(new Entry(Optional.of(key), value, fate -> runIfStored(fate, stored), false));
@@ -116,14 +173,14 @@
 
   /** Runs {@code action} once all that was written before is durable. */
   void afterAll(Runnable action) {
-    if (pending.isEmpty() && current.isEmpty()) {
+    if (pending.isEmpty() && batches.isEmpty()) {
       action.run();
       return;
     }
     Entry entry =
         new Entry(Optional.empty(), () -> ByteString.EMPTY, f -> runIfStored(f, action), false);
     if (pending.isEmpty()) {
-      current.add(entry);
+      batches.getLast().entries.add(entry);
     } else {
       pending.add(entry);
     }
@@ -131,7 +188,7 @@
 
   /** Returns whether the store answers, as far as is known. */
   boolean isStoreAway() {
-    return !current.isEmpty() && timer.monotonicMillis() - sentMillis > AWAY_MILLIS;
+    return !batches.isEmpty() && isOverdue(batches.getFirst());
   }
 
   /** Writes nothing more; callbacks that wait are dropped. */
@@ -139,6 +196,10 @@
     closed = true;
   }
 
+  private boolean isOverdue(Batch batch) {
+    return timer.monotonicMillis() - batch.sentMillis > AWAY_MILLIS;
+  }
+
   private static void runIfStored(Fate fate, Runnable action) {
     if (fate == Fate.STORED) {
       action.run();
@@ -146,129 +207,127 @@
   }
 
   private void add(Entry entry) {
-    if (closed) {
-      return;
+    if (!closed) {
+      pending.add(entry);
+      flushAfter(0);
     }
-    pending.add(entry);
-    if (current.isEmpty()) {
-      timer.after(Duration.ZERO, this::flush);
+  }
+
+  private void flushAfter(long millis) {
+    if (!flushDue && !closed) {
+      flushDue = true;
+      timer.after(Duration.ofMillis(millis), this::flush);
     }
   }
 
   private void flush() {
-    if (closed || !current.isEmpty() || pending.isEmpty()) {
+    flushDue = false;
+    if (closed || pending.isEmpty() || batches.size() >= MOST_APPENDS) {
+      return;
+    }
+    long now = timer.monotonicMillis();
+    long wait = batches.isEmpty() ? 0 : batches.getLast().sentMillis + APPEND_GAP_MILLIS - now;
+    if (wait > 0) {
+      flushAfter(wait);
       return;
     }
-    int count = Math.min(MOST_ENTRIES, pending.size());
-    current = new ArrayList<>(pending.subList(0, count));
-    pending = new ArrayList<>(pending.subList(count, pending.size()));
-    sentMillis = timer.monotonicMillis();
-    send();
+    List<Entry> entries = new ArrayList<>();
+    while (!pending.isEmpty() && entries.size() < MOST_ENTRIES) {
+      entries.add(pending.removeFirst());
+    }
+    Batch batch = new Batch(nextSequence, entries, now);
+    nextSequence++;
+    batches.add(batch);
+    send(batch);
+    if (!pending.isEmpty()) {
+      flushAfter(APPEND_GAP_MILLIS);
+    }
   }
 
-  private void send() {
-    Map<String, Supplier<ByteString>> newest = new LinkedHashMap<>();
-    for (Entry entry : current) {
-      entry.key.ifPresent(key -> newest.put(key, entry.value));
-    }
-    currentRecords =
-        newest.entrySet().stream()
-            .map(record -> new KeyedRecord(record.getKey(), record.getValue().get()))
-            .toList();
-    if (currentRecords.isEmpty()) {
-      finish();
-    } else {
-      store.append(sequence, currentRecords, this::answered);
+  private void send(Batch batch) {
+    if (!closed) {
+      store.append(batch.sequence, batch.records, outcome -> answered(batch, outcome));
     }
   }
 
-  private void answered(JobStore.Outcome outcome) {
-    if (closed) {
+  private void answered(Batch batch, JobStore.Outcome outcome) {
+    if (closed || batch.stored) {
       return;
     }
     switch (outcome) {
       case STORED -> {
-        sequence++;
-        finish();
+        batch.stored = true;
+        finishStored();
       }
       case FENCED -> {
-        LOG.atInfo().log("store: append sequence=%d outcome=fenced", sequence);
+        LOG.atInfo().log("store: append sequence=%d outcome=fenced", batch.sequence);
         closed = true;
-        failAll();
+        failAll(batch);
         fenced.run();
       }
-      case NOT_STORED -> {
-        LOG.atInfo().log("store: append sequence=%d outcome=not-stored", sequence);
-        if (uncertain) {
-          timer.after(REPEAT_PAUSE, this::repeat);
+      case OUT_OF_ORDER -> {
+        LOG.atInfo().log("store: append sequence=%d outcome=out-of-order", batch.sequence);
+        if (batch == batches.getFirst()) {
+          timer.after(ORDER_PAUSE, () -> send(batch));
         } else {
-          dropOptional();
-          timer.after(REPEAT_PAUSE, this::sendAgain);
+          batch.early = true;
+        }
+      }
+      case NOT_STORED -> {
+        LOG.atInfo().log("store: append sequence=%d outcome=not-stored", batch.sequence);
+        if (!batch.uncertain && isOverdue(batch)) {
+          batch.giveUpOptional().forEach(entry -> entry.done.accept(Fate.NOT_STORED));
+          refusePending();
         }
+        timer.after(REPEAT_PAUSE, () -> send(batch));
       }
       default -> {
         // Unknown: it may have taken effect, or may yet.
-        LOG.atInfo().log("store: append sequence=%d outcome=unknown", sequence);
-        uncertain = true;
-        reportUnknown();
-        timer.after(REPEAT_PAUSE, this::repeat);
+        LOG.atInfo().log("store: append sequence=%d outcome=unknown", batch.sequence);
+        batch.uncertain = true;
+        if (isOverdue(batch)) {
+          reportUnknown(batch);
+          refusePending();
+        }
+        timer.after(REPEAT_PAUSE, () -> send(batch));
       }
     }
   }
 
-  private void sendAgain() {
-    if (!closed) {
-      send();
+  /** Ends the appends that are durable, in their order. */
+  private void finishStored() {
+    while (!batches.isEmpty() && batches.getFirst().stored) {
+      List<Entry> finished = batches.removeFirst().entries;
+      finished.forEach(entry -> entry.done.accept(Fate.STORED));
     }
-  }
-
-  private void repeat() {
-    if (!closed) {
-      store.append(sequence, currentRecords, this::answered);
+    if (!batches.isEmpty() && batches.getFirst().early) {
+      batches.getFirst().early = false;
+      send(batches.getFirst());
     }
-  }
-
-  private void finish() {
-    List<Entry> finished = current;
-    current = List.of();
-    uncertain = false;
-    finished.forEach(entry -> entry.done.accept(Fate.STORED));
     flush();
   }
 
-  private void dropOptional() {
-    if (timer.monotonicMillis() - sentMillis < AWAY_MILLIS) {
-      return;
-    }
-    List<Entry> dropped = current.stream().filter(entry -> entry.optional).toList();
-    current.removeAll(dropped);
-    List<Entry> waiting = pending.stream().filter(entry -> entry.optional).toList();
-    pending.removeAll(waiting);
-    dropped.forEach(entry -> entry.done.accept(Fate.NOT_STORED));
-    waiting.forEach(entry -> entry.done.accept(Fate.NOT_STORED));
-  }
-
-  private void reportUnknown() {
-    if (timer.monotonicMillis() - sentMillis < AWAY_MILLIS) {
-      return;
-    }
-    for (Entry entry : current) {
+  private static void reportUnknown(Batch batch) {
+    for (Entry entry : batch.entries) {
       if (entry.optional && !entry.reported) {
         entry.reported = true;
         entry.done.accept(Fate.UNKNOWN);
       }
     }
+  }
+
+  private void refusePending() {
     List<Entry> waiting = pending.stream().filter(entry -> entry.optional).toList();
     pending.removeAll(waiting);
     waiting.forEach(entry -> entry.done.accept(Fate.NOT_STORED));
   }
 
-  private void failAll() {
-    for (Entry entry : current) {
-      entry.done.accept(uncertain ? Fate.UNKNOWN : Fate.NOT_STORED);
-    }
-    for (Entry entry : pending) {
-      entry.done.accept(Fate.NOT_STORED);
+  private void failAll(Batch refused) {
+    for (Batch batch : batches) {
+      // The others were not answered and may have been stored before the newer leader came.
+      Fate fate = batch == refused && !batch.uncertain ? Fate.NOT_STORED : Fate.UNKNOWN;
+      batch.entries.forEach(entry -> entry.done.accept(fate));
     }
+    pending.forEach(entry -> entry.done.accept(Fate.NOT_STORED));
   }
 }
--- a/coordination/src/test/java/org/vanillacove/coordination/work/JobRecorderTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/JobRecorderTest.java
@@ -64,6 +64,39 @@
     assertThat(stored).containsExactly("p");
   }
 
+  @Test
+  void appendsOfASlowStoreOverlap() {
+    for (int i = 0; i < 8; i++) {
+      recorder.write("progress/" + i, () -> ByteString.EMPTY, () -> {});
+      timer.advance(50);
+    }
+    assertThat(sent).extracting(Sent::sequence).containsExactly(0, 1, 2, 3);
+  }
+
+  @Test
+  void appendThatCameTooEarlyIsSentAgainAfterItsPredecessor() {
+    List<String> stored = new ArrayList<>();
+    answers.addAll(List.of(JobStore.Outcome.UNKNOWN, JobStore.Outcome.OUT_OF_ORDER));
+    recorder.write("progress/a", () -> ByteString.EMPTY, () -> stored.add("a"));
+    timer.advance(50);
+    recorder.write("progress/b", () -> ByteString.EMPTY, () -> stored.add("b"));
+    timer.advance(2_000);
+    assertThat(sent).extracting(Sent::sequence).containsExactly(0, 1, 0, 1);
+    assertThat(stored).containsExactly("a", "b");
+  }
+
+  @Test
+  void laterAppendKeepsTheNewerValue() {
+    List<String> values = new ArrayList<>(List.of("old", "new"));
+    answers.add(JobStore.Outcome.NOT_STORED);
+    recorder.write("k", () -> ByteString.copyFromUtf8(values.removeFirst()), () -> {});
+    timer.advance(50);
+    recorder.write("k", () -> ByteString.copyFromUtf8(values.removeFirst()), () -> {});
+    timer.advance(3_000);
+    assertThat(sent.getLast().records().getFirst().value().toStringUtf8())
+        .isEqualTo(sent.getLast().sequence() == 1 ? "new" : "old");
+  }
+
   @Test
   void newerLeaderEndsTheTerm() {
     play(JobStore.Outcome.FENCED);
