--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobRecorder.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobRecorder.java
@@ -67,6 +67,9 @@
   /** Sequence number of the next append. */
   private int nextSequence;
 
+  /** Sequence number up to which appends must be durable before new ones are sent. */
+  private int drainThrough = -1;
+
   /** Whether a look at the pending entries is due. */
   private boolean flushDue;
 
@@ -222,7 +225,9 @@
 
   private void flush() {
     flushDue = false;
-    if (closed || pending.isEmpty() || batches.size() >= MOST_APPENDS) {
+    // An append sent while another one comes too early would come too early as well, and so on.
+    boolean draining = !batches.isEmpty() && batches.getFirst().sequence <= drainThrough;
+    if (closed || pending.isEmpty() || draining || batches.size() >= MOST_APPENDS) {
       return;
     }
     long now = timer.monotonicMillis();
@@ -250,6 +255,11 @@
     }
   }
 
+  private void sendEarly(Batch batch) {
+    batch.early = false;
+    send(batch);
+  }
+
   private void answered(Batch batch, JobStore.Outcome outcome) {
     if (closed || batch.stored) {
       return;
@@ -267,10 +277,10 @@
       }
       case OUT_OF_ORDER -> {
         LOG.atInfo().log("store: append sequence=%d outcome=out-of-order", batch.sequence);
+        batch.early = true;
+        drainThrough = nextSequence - 1;
         if (batch == batches.getFirst()) {
-          timer.after(ORDER_PAUSE, () -> send(batch));
-        } else {
-          batch.early = true;
+          timer.after(ORDER_PAUSE, () -> sendEarly(batch));
         }
       }
       case NOT_STORED -> {
@@ -301,8 +311,7 @@
       finished.forEach(entry -> entry.done.accept(Fate.STORED));
     }
     if (!batches.isEmpty() && batches.getFirst().early) {
-      batches.getFirst().early = false;
-      send(batches.getFirst());
+      sendEarly(batches.getFirst());
     }
     flush();
   }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobRecords.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobRecords.java
@@ -2,7 +2,11 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
 import java.util.Optional;
+import org.vanillacove.protocol.generated.WorkEndedMessage;
 import org.vanillacove.protocol.generated.WorkJobMessage;
 import org.vanillacove.protocol.generated.WorkOutcomeMessage;
 import org.vanillacove.protocol.generated.WorkProgressMessage;
@@ -23,6 +27,12 @@
   /** Prefix of keys of records of workers that may hold runs. */
   static final String WORKER = "worker/";
 
+  /** Prefix of keys of records of many jobs that ended. */
+  static final String ENDED = "ended/";
+
+  /** Base of the digits of a job's identifier. */
+  private static final int ID_RADIX = 16;
+
   private JobRecords() {}
 
   /** Returns the record of an acceptance. */
@@ -37,6 +47,41 @@
     return message.build().toByteString();
   }
 
+  /** Returns the record of jobs that ended. */
+  static ByteString ended(EndedJobs.Bundle bundle) {
+    WorkEndedMessage.Builder message = WorkEndedMessage.newBuilder();
+    for (EndedJobs.Ended job : bundle.jobs()) {
+      message
+          .addIds(Long.parseUnsignedLong(job.id(), ID_RADIX))
+          .addOutcomes(outcome(job.outcome()));
+    }
+    return message.build().toByteString();
+  }
+
+  /** Returns the jobs in a record of jobs that ended, or empty if the record is malformed. */
+  static Optional<EndedJobs.Bundle> parseEnded(ByteString bytes, long nowMillis) {
+    try {
+      WorkEndedMessage message = WorkEndedMessage.parseFrom(bytes);
+      List<EndedJobs.Ended> jobs = new ArrayList<>();
+      for (int i = 0; i < Math.min(message.getIdsCount(), message.getOutcomesCount()); i++) {
+        String id = HexFormat.of().toHexDigits(message.getIds(i));
+        jobs.add(new EndedJobs.Ended(id, stage(message.getOutcomes(i)), nowMillis));
+      }
+      return jobs.isEmpty() ? Optional.empty() : Optional.of(new EndedJobs.Bundle(jobs));
+    } catch (InvalidProtocolBufferException e) {
+      return Optional.empty();
+    }
+  }
+
+  /** Returns the wall time of a recorded acceptance in milliseconds since 1970, 0 if unknown. */
+  static long acceptedWallMillis(ByteString bytes) {
+    try {
+      return WorkJobMessage.parseFrom(bytes).getAcceptedWallMillis();
+    } catch (InvalidProtocolBufferException e) {
+      return 0;
+    }
+  }
+
   /** Returns the record of how far {@code job} is. */
   static ByteString progress(TrackedJob job) {
     WorkProgressMessage.Builder message =
--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobTable.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobTable.java
@@ -1,11 +1,8 @@
 package org.vanillacove.coordination.work;
 
 import com.google.protobuf.ByteString;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -32,16 +29,8 @@
   /** Workers that may hold runs of a former leader, by the records. */
   private final Set<String> recordedWorkers = new HashSet<>();
 
-  /** Finished jobs, those that ended first at the head. */
-  private final Deque<Finished> finished = new ArrayDeque<>();
-
-  /**
-   * A finished job.
-   *
-   * @param job the job
-   * @param endMillis monotonic time at which its end was known here
-   */
-  private record Finished(TrackedJob job, long endMillis) {}
+  /** Jobs that ended. */
+  private final EndedJobs ended = new EndedJobs();
 
   Optional<TrackedJob> find(String id) {
     return Optional.ofNullable(jobs.get(id));
@@ -75,45 +64,47 @@
     open.remove(job);
   }
 
+  /** Returns the jobs that ended. */
+  EndedJobs ended() {
+    return ended;
+  }
+
   /** Notes that {@code job} has its durable end. */
   void finished(TrackedJob job, long nowMillis) {
     open.remove(job);
-    finished.addLast(new Finished(job, nowMillis));
+    ended.add(job.id(), job.stage(), nowMillis);
   }
 
-  /** Forgets the jobs that ended before {@code endMillis}, {@code most} at a time. */
-  List<TrackedJob> forget(long endMillis, int most) {
-    List<TrackedJob> forgotten = new ArrayList<>();
-    while (forgotten.size() < most
-        && !finished.isEmpty()
-        && finished.peekFirst().endMillis() < endMillis) {
-      TrackedJob job = finished.removeFirst().job();
-      jobs.remove(job.id(), job);
-      forgotten.add(job);
-    }
-    return forgotten;
+  /** Forgets all of a job but its outcome. */
+  void dropTasks(String id) {
+    jobs.remove(id);
   }
 
   /**
    * Takes in the newest records of all keys.
    *
    * @param records the records
-   * @param nowMillis monotonic time, which stands for the unknown time of submission
+   * @param nowMillis monotonic time
+   * @param wallMillis time of day, to tell how long ago jobs were accepted
    * @param objectives gives the objective of a job
    */
-  void load(List<KeyedRecord> records, long nowMillis, Objectives objectives) {
+  void load(List<KeyedRecord> records, long nowMillis, long wallMillis, Objectives objectives) {
     Map<String, ByteString> progress = new HashMap<>();
     for (KeyedRecord each : records) {
       if (each.key().startsWith(JobRecords.PROGRESS)) {
         progress.put(each.key().substring(JobRecords.PROGRESS.length()), each.value());
       } else if (each.key().startsWith(JobRecords.WORKER)) {
         recordedWorkers.add(each.key().substring(JobRecords.WORKER.length()));
+      } else if (each.key().startsWith(JobRecords.ENDED)) {
+        JobRecords.parseEnded(each.value(), nowMillis).ifPresent(ended::add);
       }
     }
     for (KeyedRecord each : records) {
       if (each.key().startsWith(JobRecords.JOB)) {
+        // Clocks of hosts differ; a job is at least not younger than its record.
+        long ageMillis = Math.max(0, wallMillis - JobRecords.acceptedWallMillis(each.value()));
         JobRecords.parseJob(each.value())
-            .ifPresent(spec -> inherit(spec, nowMillis, objectives.millis(spec)));
+            .ifPresent(spec -> inherit(spec, nowMillis - ageMillis, objectives.millis(spec)));
       }
     }
     progress.forEach(
@@ -132,12 +123,9 @@
   private void restore(String id, WorkProgressMessage message, long nowMillis) {
     TrackedJob.Stage stage = JobRecords.stage(message.getOutcome());
     if (stage.isFinal()) {
-      TrackedJob known = jobs.get(id);
-      JobSpec spec = known == null ? new JobSpec(id, "", "", List.of()) : known.spec();
+      TrackedJob known = jobs.remove(id);
       open.remove(known);
-      TrackedJob ended = new TrackedJob(spec, nowMillis, 0, stage, true);
-      jobs.put(id, ended);
-      finished.addLast(new Finished(ended, nowMillis));
+      ended.add(id, stage, nowMillis);
       return;
     }
     for (WorkTaskMessage each : message.getTasksList()) {
--- a/coordination/src/main/java/org/vanillacove/coordination/work/TrackedJob.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/TrackedJob.java
@@ -152,6 +152,11 @@
 
   /** Returns the state that callers see. */
   JobView view() {
+    return view(stage, started);
+  }
+
+  /** Returns the state that callers see of a job in {@code stage}. */
+  static JobView view(Stage stage, boolean started) {
     return switch (stage) {
       case COMPLETED -> JobView.COMPLETED;
       case FAILED -> JobView.FAILED;
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -53,9 +53,6 @@
   /** Time beyond the users' bound for which a finished job stays known. */
   private static final long STATUS_MARGIN_MILLIS = 10_000;
 
-  /** Most jobs forgotten in one check, so that their records spread over several appends. */
-  private static final int MOST_FORGOTTEN = 100;
-
   /** Slowest rate of a worker's clock against ours. */
   private static final double SLOWEST_CLOCK = 0.98;
 
@@ -152,6 +149,7 @@
     jobs.load(
         records,
         timer.monotonicMillis(),
+        timer.wallMillis(),
         spec -> queue(spec.queue()).map(q -> q.objectiveMillis(spec)).orElse(0L));
     unaccounted.addAll(jobs.recordedWorkers());
     LOG.atInfo().log(
@@ -186,6 +184,13 @@
     changed();
   }
 
+  /** Returns whether the store takes records and each worker that may hold runs reports. */
+  public boolean isSettled() {
+    return !recorder.isStoreAway()
+        && unaccounted.isEmpty()
+        && workers.values().stream().allMatch(WorkerSession::isReporting);
+  }
+
   /** Returns whether the store takes no records at present. */
   public boolean isStoreAway() {
     return recorder.isStoreAway();
@@ -202,6 +207,10 @@
       }
       return;
     }
+    if (jobs.ended().outcome(spec.id()).isPresent()) {
+      done.accept(new SubmitOutcome.Accepted());
+      return;
+    }
     Optional<SubmitOutcome.Rejected> rejection = rejection(spec);
     if (rejection.isPresent()) {
       LOG.atInfo().log(
@@ -219,23 +228,23 @@
 
   /** Returns the state of a job, or empty if there is none of this name. */
   public Optional<JobView> show(String id) {
-    return jobs.find(id)
-        .filter(job -> job.stage() != TrackedJob.Stage.ACCEPTING)
-        .map(TrackedJob::view);
+    Optional<JobView> ended = jobs.ended().outcome(id).map(stage -> TrackedJob.view(stage, true));
+    return ended.isPresent()
+        ? ended
+        : jobs.find(id)
+            .filter(job -> job.stage() != TrackedJob.Stage.ACCEPTING)
+            .map(TrackedJob::view);
   }
 
   /** Cancels a job; {@code done} is called once that is durable. */
   public void cancel(String id, Consumer<CancelOutcome> done) {
     Optional<TrackedJob> found = jobs.find(id);
-    if (found.isEmpty()) {
-      done.accept(CancelOutcome.NO_SUCH_JOB);
+    Optional<TrackedJob.Stage> ended = jobs.ended().outcome(id);
+    if (found.isEmpty() || ended.isPresent()) {
+      done.accept(ended.map(WorkCell::cancelOutcome).orElse(CancelOutcome.NO_SUCH_JOB));
       return;
     }
     TrackedJob job = found.get();
-    if (job.stage().isFinal()) {
-      done.accept(cancelOutcome(job.stage()));
-      return;
-    }
     cancelling.computeIfAbsent(id, key -> new ArrayList<>()).add(done);
     if (job.stage() != TrackedJob.Stage.CANCELLING) {
       LOG.atInfo().log("jobs: cancel job=%s stage=%s", id, job.stage());
@@ -392,14 +401,38 @@
       unaccounted.clear();
     }
     workers.values().removeIf(this::isGone);
-    jobs.forget(now - term.statusMillis() - STATUS_MARGIN_MILLIS, MOST_FORGOTTEN)
-        .forEach(
-            job ->
-                recorder.write(JobRecords.PROGRESS + job.id(), () -> ByteString.EMPTY, () -> {}));
+    bundleEnded(now);
+    forgetEnded(now - term.statusMillis() - STATUS_MARGIN_MILLIS);
     advice.serve();
     changed();
   }
 
+  /** Lets jobs that ended share a record; the new record is stored before the old ones go. */
+  private void bundleEnded(long now) {
+    jobs.ended()
+        .bundle(now)
+        .ifPresent(
+            bundle -> {
+              recorder.write(bundle.key(), () -> JobRecords.ended(bundle), () -> {});
+              for (EndedJobs.Ended job : bundle.jobs()) {
+                drop(JobRecords.PROGRESS + job.id());
+                jobs.dropTasks(job.id());
+              }
+            });
+  }
+
+  private void forgetEnded(long endMillis) {
+    jobs.ended().forgetBundles(endMillis).forEach(bundle -> drop(bundle.key()));
+    for (EndedJobs.Ended job : jobs.ended().forgetSingle(endMillis)) {
+      drop(JobRecords.PROGRESS + job.id());
+      jobs.dropTasks(job.id());
+    }
+  }
+
+  private void drop(String key) {
+    recorder.write(key, () -> ByteString.EMPTY, () -> {});
+  }
+
   private boolean isGone(WorkerSession worker) {
     if (worker.isListed() || !worker.isIdle() || unaccounted.contains(worker.id())) {
       return false;
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -207,8 +207,9 @@
     return answeredMillis >= 0;
   }
 
-  boolean isRecorded() {
-    return recorded;
+  /** Returns whether the last report came, or the worker certainly holds no lease. */
+  boolean isReporting() {
+    return !recorded || (isConfirmed() && misses == 0);
   }
 
   void recorded(boolean now) {
--- a/coordination/src/test/java/org/vanillacove/coordination/work/JobRecorderTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/JobRecorderTest.java
@@ -25,6 +25,33 @@
   /** An append as the store saw it. */
   private record Sent(int sequence, List<KeyedRecord> records) {}
 
+  /** Takes appends in order only; the first one is held up on its way. */
+  private static final class OrderedStore implements JobStore {
+    private final ManualTimerService timer;
+    private int calls;
+    private int next;
+    private int refusals;
+
+    OrderedStore(ManualTimerService timer) {
+      this.timer = timer;
+    }
+
+    @Override
+    public void append(int sequence, List<KeyedRecord> records, Consumer<Outcome> done) {
+      calls++;
+      timer.after(Duration.ofMillis(calls == 1 ? 90 : 30), () -> arrive(sequence, done));
+    }
+
+    private void arrive(int sequence, Consumer<Outcome> done) {
+      boolean inOrder = sequence == next;
+      next += inOrder ? 1 : 0;
+      refusals += inOrder ? 0 : 1;
+      timer.after(
+          Duration.ofMillis(60),
+          () -> done.accept(inOrder ? Outcome.STORED : Outcome.OUT_OF_ORDER));
+    }
+  }
+
   private void append(int sequence, List<KeyedRecord> records, Consumer<JobStore.Outcome> done) {
     sent.add(new Sent(sequence, records));
     JobStore.Outcome outcome = answers.isEmpty() ? JobStore.Outcome.STORED : answers.removeFirst();
@@ -85,6 +112,18 @@
     assertThat(stored).containsExactly("a", "b");
   }
 
+  @Test
+  void oneLateAppendDoesNotPutAllLaterOnesOutOfOrder() {
+    OrderedStore ordered = new OrderedStore(timer);
+    JobRecorder overOrdered = new JobRecorder(ordered, timer, () -> {});
+    for (int i = 0; i < 60; i++) {
+      overOrdered.write("progress/" + i, () -> ByteString.EMPTY, () -> {});
+      timer.advance(30);
+    }
+    timer.advance(2_000);
+    assertThat(ordered.refusals).isBetween(1, 3);
+  }
+
   @Test
   void laterAppendKeepsTheNewerValue() {
     List<String> values = new ArrayList<>(List.of("old", "new"));
