Tell a fate that only the store knows at once, and ask the next leader only after a term's end

Change: an answer of unknown fate is passed on at once; only calls cut off by the end of a term are made again. A submission repeated while its first append is of unknown fate is answered so at once.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobRecorder.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobRecorder.java
@@ -194,6 +194,11 @@
     return !batches.isEmpty() && isOverdue(batches.getFirst());
   }
 
+  /** Returns whether nothing more is written. */
+  boolean isClosed() {
+    return closed;
+  }
+
   /** Writes nothing more; callbacks that wait are dropped. */
   void close() {
     closed = true;
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -200,7 +200,9 @@
   public void submit(JobSpec spec, Consumer<SubmitOutcome> done) {
     Optional<TrackedJob> known = jobs.find(spec.id());
     if (known.isPresent()) {
-      if (known.get().stage() == TrackedJob.Stage.ACCEPTING) {
+      if (known.get().stage() == TrackedJob.Stage.ACCEPTING && recorder.isStoreAway()) {
+        done.accept(new SubmitOutcome.Unknown());
+      } else if (known.get().stage() == TrackedJob.Stage.ACCEPTING) {
         submitting.computeIfAbsent(spec.id(), id -> new ArrayList<>()).add(done);
       } else {
         done.accept(new SubmitOutcome.Accepted());
@@ -269,11 +271,11 @@
     workers.values().forEach(WorkerSession::close);
     submitting.values().stream()
         .flatMap(List::stream)
-        .forEach(done -> done.accept(new SubmitOutcome.Unknown()));
+        .forEach(done -> done.accept(new SubmitOutcome.TermEnded()));
     submitting.clear();
     cancelling.values().stream()
         .flatMap(List::stream)
-        .forEach(done -> done.accept(CancelOutcome.UNKNOWN));
+        .forEach(done -> done.accept(CancelOutcome.TERM_ENDED));
     cancelling.clear();
   }
 
@@ -336,7 +338,8 @@
         switch (fate) {
           case STORED -> new SubmitOutcome.Accepted();
           case NOT_STORED -> new SubmitOutcome.Rejected("store away", STORE_AWAY_RETURN);
-          case UNKNOWN -> new SubmitOutcome.Unknown();
+          case UNKNOWN ->
+              recorder.isClosed() ? new SubmitOutcome.TermEnded() : new SubmitOutcome.Unknown();
         };
     long millis = timer.monotonicMillis() - job.submittedMillis();
     if (fate == JobRecorder.Fate.STORED) {
--- a/coordination/src/main/java/org/vanillacove/coordination/work/api/CancelOutcome.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/api/CancelOutcome.java
@@ -6,6 +6,6 @@
   CANCELLED,
   /** There is no such job, or it had ended before. */
   NO_SUCH_JOB,
-  /** Whether it is cancelled is not known; the caller asks again. */
-  UNKNOWN
+  /** The leader's term ended before that was known; the next leader knows it. */
+  TERM_ENDED
 }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/api/SubmitOutcome.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/api/SubmitOutcome.java
@@ -15,6 +15,9 @@
    */
   record Rejected(String reason, Duration retryAfter) implements SubmitOutcome {}
 
-  /** Whether the job was accepted is not known; the caller asks again with the same id. */
+  /** The store does not say whether the job is stored; the caller asks again with the same id. */
   record Unknown() implements SubmitOutcome {}
+
+  /** The leader's term ended before that was known; the next leader knows it. */
+  record TermEnded() implements SubmitOutcome {}
 }
