Split the cell's callers and the upkeep of ended jobs from it

Change: CallerQueue holds callers that wait for an outcome, EndedJobsUpkeep bundles and forgets. No change of behaviour; the tests of the cell pass.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -3,7 +3,6 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -50,9 +49,6 @@
   /** Longest time for which a former leader renews leases after a newer claim. */
   private static final long FORMER_LEADER_MILLIS = 3_500;
 
-  /** Time beyond the users' bound for which a finished job stays known. */
-  private static final long STATUS_MARGIN_MILLIS = 10_000;
-
   /** Slowest rate of a worker's clock against ours. */
   private static final double SLOWEST_CLOCK = 0.98;
 
@@ -80,6 +76,9 @@
   /** Writes records. */
   private final JobRecorder recorder;
 
+  /** Keeps the records of ended jobs few. */
+  private final EndedJobsUpkeep endedJobs;
+
   /** Calls for advice. */
   private final AdviceDesk advice;
 
@@ -90,10 +89,10 @@
   private final Events events = new Events();
 
   /** Submissions that wait for their job to be durable. */
-  private final Map<String, List<Consumer<SubmitOutcome>>> submitting = new HashMap<>();
+  private final CallerQueue<SubmitOutcome> submitting = new CallerQueue<>();
 
   /** Cancellations that wait to be durable. */
-  private final Map<String, List<Consumer<CancelOutcome>>> cancelling = new HashMap<>();
+  private final CallerQueue<CancelOutcome> cancelling = new CallerQueue<>();
 
   /** Monotonic time from which runs of former leaders are certainly over, in milliseconds. */
   private final long accountedMillis;
@@ -125,6 +124,7 @@
     this.timer = timer;
     this.client = client;
     recorder = new JobRecorder(store, timer, term.fenced());
+    endedJobs = new EndedJobsUpkeep(jobs, recorder, term.statusMillis());
     advice = new AdviceDesk(adviser, timer, this::changed);
     dispatcher = new Dispatcher(jobs, workers, this::queue, this::isAccounted, advice, timer);
     accountedMillis =
@@ -203,7 +203,7 @@
       if (known.get().stage() == TrackedJob.Stage.ACCEPTING && recorder.isStoreAway()) {
         done.accept(new SubmitOutcome.Unknown());
       } else if (known.get().stage() == TrackedJob.Stage.ACCEPTING) {
-        submitting.computeIfAbsent(spec.id(), id -> new ArrayList<>()).add(done);
+        submitting.add(spec.id(), done);
       } else {
         done.accept(new SubmitOutcome.Accepted());
       }
@@ -247,7 +247,7 @@
       return;
     }
     TrackedJob job = found.get();
-    cancelling.computeIfAbsent(id, key -> new ArrayList<>()).add(done);
+    cancelling.add(id, done);
     if (job.stage() != TrackedJob.Stage.CANCELLING) {
       LOG.atInfo().log("jobs: cancel job=%s stage=%s", id, job.stage());
       finish(job, TrackedJob.Stage.CANCELLING, TrackedJob.Stage.CANCELLED);
@@ -269,14 +269,8 @@
     check.cancel();
     recorder.close();
     workers.values().forEach(WorkerSession::close);
-    submitting.values().stream()
-        .flatMap(List::stream)
-        .forEach(done -> done.accept(new SubmitOutcome.TermEnded()));
-    submitting.clear();
-    cancelling.values().stream()
-        .flatMap(List::stream)
-        .forEach(done -> done.accept(CancelOutcome.TERM_ENDED));
-    cancelling.clear();
+    submitting.answerAll(new SubmitOutcome.TermEnded());
+    cancelling.answerAll(CancelOutcome.TERM_ENDED);
   }
 
   private Optional<QueuePolicy> queue(String name) {
@@ -325,7 +319,7 @@
             TrackedJob.Stage.ACCEPTING,
             false);
     jobs.add(job);
-    submitting.computeIfAbsent(spec.id(), id -> new ArrayList<>()).add(done);
+    submitting.add(spec.id(), done);
     recorder.accept(
         JobRecords.JOB + spec.id(),
         JobRecords.job(spec, timer.wallMillis()),
@@ -356,10 +350,7 @@
     LOG.atInfo().log(
         "jobs: accept job=%s queue=%s outcome=%s ms=%d",
         job.id(), job.spec().queue(), fate, millis);
-    List<Consumer<SubmitOutcome>> callers = submitting.remove(job.id());
-    if (callers != null) {
-      callers.forEach(caller -> caller.accept(outcome));
-    }
+    submitting.answer(job.id(), outcome);
   }
 
   private void listed(WorkerEntry entry) {
@@ -404,38 +395,11 @@
       unaccounted.clear();
     }
     workers.values().removeIf(this::isGone);
-    bundleEnded(now);
-    forgetEnded(now - term.statusMillis() - STATUS_MARGIN_MILLIS);
+    endedJobs.run(now);
     advice.serve();
     changed();
   }
 
-  /** Lets jobs that ended share a record; the new record is stored before the old ones go. */
-  private void bundleEnded(long now) {
-    jobs.ended()
-        .bundle(now)
-        .ifPresent(
-            bundle -> {
-              recorder.write(bundle.key(), () -> JobRecords.ended(bundle), () -> {});
-              for (EndedJobs.Ended job : bundle.jobs()) {
-                drop(JobRecords.PROGRESS + job.id());
-                jobs.dropTasks(job.id());
-              }
-            });
-  }
-
-  private void forgetEnded(long endMillis) {
-    jobs.ended().forgetBundles(endMillis).forEach(bundle -> drop(bundle.key()));
-    for (EndedJobs.Ended job : jobs.ended().forgetSingle(endMillis)) {
-      drop(JobRecords.PROGRESS + job.id());
-      jobs.dropTasks(job.id());
-    }
-  }
-
-  private void drop(String key) {
-    recorder.write(key, () -> ByteString.EMPTY, () -> {});
-  }
-
   private boolean isGone(WorkerSession worker) {
     if (worker.isListed() || !worker.isIdle() || unaccounted.contains(worker.id())) {
       return false;
@@ -488,10 +452,7 @@
         durable,
         timer.monotonicMillis() - job.submittedMillis(),
         job.objectiveMillis());
-    List<Consumer<CancelOutcome>> callers = cancelling.remove(job.id());
-    if (callers != null) {
-      callers.forEach(caller -> caller.accept(cancelOutcome(durable)));
-    }
+    cancelling.answer(job.id(), cancelOutcome(durable));
     changed();
   }
 
--- a/coordination/src/test/java/org/vanillacove/coordination/work/AdviceDeskTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/AdviceDeskTest.java
@@ -16,6 +16,7 @@
 import org.vanillacove.state.work.JobSpec;
 import org.vanillacove.state.work.QueuePolicy;
 
+/** Replays bursts of small steps over an adviser that serves one host in turn. */
 class AdviceDeskTest {
   /** One way to the adviser by a peer in another region. */
   private static final long WAY_MILLIS = 60;
--- a/coordination/src/test/java/org/vanillacove/coordination/work/EndedJobsTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/EndedJobsTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.vanillacove.coordination.work.TrackedJob.Stage;
 
+/** Checks when ended jobs share a record and when they are forgotten. */
 class EndedJobsTest {
   private static final long STATUS_MILLIS = 120_000;
 
--- a/state/src/test/java/org/vanillacove/state/work/AdviceRouteTest.java
+++ b/state/src/test/java/org/vanillacove/state/work/AdviceRouteTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+/** Checks which host makes a call for advice under load. */
 class AdviceRouteTest {
   private static final double LONG = 660;
   private static final double SHORT = 10;
