Hold a worker's room for runs of jobs that ended under a former leader

A new leader that finds a run of a job whose end is on record does not know its demand and held no room for it, while the worker still ran it until its stop was through.

Change: such a run holds all of its worker until it is gone. runsOfAnEndedJobHoldTheirRoomUnderTheNextLeader failed before, with the capacity of all six workers passed.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -562,7 +562,9 @@
       Optional<TrackedTask> task = jobs.task(running.task());
       if (task.isEmpty()) {
         LOG.atInfo().log("jobs: unknown run task=%s worker=%s", running.task(), worker.id());
-        return new WorkerSession.Found(Resources.NONE, false);
+        // The job has ended and its demand is not on record: until the run is gone, it may hold
+        // all.
+        return new WorkerSession.Found(worker.capacity(), false);
       }
       TrackedJob job = jobs.find(running.task().job()).orElseThrow();
       Resources demand = job.steps().get(running.task().step()).spec().demand();
--- a/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellTest.java
@@ -98,6 +98,23 @@
     assertThat(fixture.cell().show(ID)).contains(JobView.CANCELLED);
   }
 
+  @Test
+  void runsOfAnEndedJobHoldTheirRoomUnderTheNextLeader() {
+    CellFixture fixture = new CellFixture(1, false);
+    fixture.lead();
+    fixture.run(1_000);
+    fixture.submit(CellFixture.job(ID, CellFixture.step(6, 8_000, 60_000, false, List.of())));
+    fixture.run(1_000);
+    fixture.cell().cancel(ID, outcome -> {});
+    fixture.timer.advance(8);
+    fixture.lead();
+    String next = "00000000000000a2";
+    fixture.submit(CellFixture.job(next, CellFixture.step(6, 8_000, 500, false, List.of())));
+    fixture.run(3_000);
+    assertThat(fixture.cell().show(next)).contains(JobView.COMPLETED);
+    assertThat(fixture.workers.violations()).isEmpty();
+  }
+
   @Test
   void callersAreAnsweredWhenTheTermEnds() {
     CellFixture fixture = new CellFixture(1, false);
