Log when a gang is complete, or which member kept it incomplete

A successful start left no line, so the logs could not tell a start that was refused from starts that were too far apart, nor say how long a gang took to be complete. The leader now follows each run of a gang from its first start command and writes one line when all members are confirmed, or one with the reason when a member is gone before that. No decision changes.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
@@ -50,6 +50,9 @@
   /** Queues calls to the adviser. */
   private final AdviceScheduler advice;
 
+  /** Follows the runs of gangs. */
+  private final GangSupervisor gangs;
+
   /** Clock for ticket expiry and service order. */
   private final TimerService timer;
 
@@ -60,12 +63,14 @@
       Function<String, Optional<QueuePolicy>> policies,
       Predicate<TrackedJob> runsKnown,
       AdviceScheduler advice,
+      GangSupervisor gangs,
       TimerService timer) {
     this.jobs = jobs;
     this.workers = workers;
     this.policies = policies;
     this.runsKnown = runsKnown;
     this.advice = advice;
+    this.gangs = gangs;
     this.timer = timer;
   }
 
@@ -211,6 +216,9 @@
         PlacementPolicy.place(step.spec(), waiting.size(), capacities(candidate, sessions));
     int gangRun = step.nextGangRun();
     String gangCheckpoint = step.gangCheckpoint();
+    if (step.spec().gang() && !chosen.isEmpty()) {
+      gangs.placed(step, gangRun);
+    }
     for (int i = 0; i < chosen.size(); i++) {
       TrackedTask task = waiting.get(i);
       int number = step.spec().gang() ? gangRun : task.highestRun() + 1;
--- a/coordination/src/main/java/org/vanillacove/coordination/work/TrackedStep.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/TrackedStep.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.vanillacove.coordination.work.api.TaskName;
 import org.vanillacove.state.work.StepSpec;
 
@@ -22,6 +23,9 @@
   /** Monotonic time in milliseconds at which only free capacity was missing; negative before. */
   private long readySinceMillis = -1;
 
+  /** Latest run of the whole gang; empty before the first one and for other steps. */
+  private Optional<GangRun> gangRun = Optional.empty();
+
   /** Creates a step of which no task has run. */
   TrackedStep(String job, int index, StepSpec spec) {
     this.spec = spec;
@@ -72,6 +76,14 @@
     return tasks.stream().map(TrackedTask::checkpoint).max(String::compareTo).orElse("");
   }
 
+  Optional<GangRun> gangRun() {
+    return gangRun;
+  }
+
+  void setGangRun(GangRun run) {
+    gangRun = Optional.of(run);
+  }
+
   long readySinceMillis() {
     return readySinceMillis;
   }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -82,6 +82,9 @@
   /** Schedules the calls to the adviser. */
   private final AdviceScheduler advice;
 
+  /** Follows the runs of gangs. */
+  private final GangSupervisor gangs;
+
   /** Places waiting tasks on workers and starts them. */
   private final Dispatcher dispatcher;
 
@@ -126,7 +129,9 @@
     recorder = new JobRecorder(store, timer, term.fenced());
     endedJobs = new EndedJobsCleanup(jobs, recorder, term.statusMillis());
     advice = new AdviceScheduler(adviser, timer, this::scheduleDispatch);
-    dispatcher = new Dispatcher(jobs, workers, this::queue, this::areRunsKnown, advice, timer);
+    gangs = new GangSupervisor(jobs, timer);
+    dispatcher =
+        new Dispatcher(jobs, workers, this::queue, this::areRunsKnown, advice, gangs, timer);
     formerLeasesEndMillis =
         timer.monotonicMillis()
             + MAX_FORMER_LEADER_MILLIS
@@ -487,6 +492,7 @@
     task.updateCheckpoint(end.checkpoint());
     task.release(end.run());
     term.metrics().countRunEvent(end.cause());
+    gangs.memberGone(end.task(), end.run(), end.cause());
     if (end.cause() != WorkerClient.EndCause.DONE) {
       LOG.atInfo().log(
           "jobs: run ended task=%s run=%d cause=%s worker=%s",
@@ -587,6 +593,7 @@
     @Override
     public void started(WorkerSession worker, TaskRun run) {
       term.metrics().countRunEvent(run.phase());
+      gangs.memberPresent(run.task(), run.number());
       jobs.find(run.task().job()).ifPresent(job -> started(job, run));
     }
 
@@ -603,6 +610,7 @@
           run.task(), run.number(), worker.id(), refusal);
       term.metrics().countRunEvent(refusal);
       jobs.task(run.task()).ifPresent(task -> task.release(run.number()));
+      gangs.memberGone(run.task(), run.number(), refusal);
       if (refusal == Refusal.TICKET) {
         jobs.find(run.task().job())
             .map(job -> job.steps().get(run.task().step()))
@@ -645,6 +653,7 @@
           "jobs: run lost task=%s run=%d worker=%s phase=%s",
           run.task(), run.number(), worker.id(), run.phase());
       jobs.task(run.task()).ifPresent(task -> task.release(run.number()));
+      gangs.memberGone(run.task(), run.number(), "LOST");
       capacityChanged();
     }
 
