--- a/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
@@ -42,6 +42,7 @@
   private final Map<TaskName, Integer> acknowledgedFailures = new HashMap<>();
   private final Set<String> unlisted = new HashSet<>();
   private final List<String> violations = new ArrayList<>();
+  private final List<TaskName> aloneEnds = new ArrayList<>();
   private int starts;
   private int maxAttempts = Integer.MAX_VALUE;
   private double failureShare;
@@ -81,7 +82,10 @@
     private final Map<TaskName, Integer> highestEndedRun = new HashMap<>();
     private boolean disconnected;
     private boolean commandsDelayed;
+    private boolean startsUnanswered;
     private boolean hanging;
+    private int startsToRefuse;
+    private WorkerClient.Refusal refusal = WorkerClient.Refusal.UNHEALTHY;
   }
 
   void add(String id, Resources capacity, String rack) {
@@ -118,6 +122,17 @@
     workers.get(id).commandsDelayed = delayed;
   }
 
+  /** Makes a worker refuse its next start commands. */
+  void refuseStarts(String id, int count, WorkerClient.Refusal refusal) {
+    workers.get(id).startsToRefuse = count;
+    workers.get(id).refusal = refusal;
+  }
+
+  /** Makes start commands to a worker time out without an effect, or ends that. */
+  void dropStarts(String id, boolean dropped) {
+    workers.get(id).startsUnanswered = dropped;
+  }
+
   /** Stops or resumes the progress of all runs on a worker. */
   void hang(String id, boolean hanging) {
     workers.get(id).hanging = hanging;
@@ -159,6 +174,11 @@
     return violations;
   }
 
+  /** Returns the runs that ended since the other members of their gang were missing. */
+  List<TaskName> aloneEnds() {
+    return aloneEnds;
+  }
+
   int starts() {
     return starts;
   }
@@ -223,6 +243,9 @@
     if (cause == WorkerClient.EndCause.DONE) {
       done.add(run.task);
     }
+    if (cause == WorkerClient.EndCause.ALONE) {
+      aloneEnds.add(run.task);
+    }
     if (run.step.gang()) {
       WorkerClient.EndCause others =
           cause == WorkerClient.EndCause.DONE ? cause : WorkerClient.EndCause.BROKEN;
@@ -312,6 +335,10 @@
 
     @Override
     public void start(WorkerEntry entry, StartCommand command, Consumer<CommandOutcome> done) {
+      if (workers.get(entry.id()).startsUnanswered) {
+        timer.after(TIMEOUT, () -> done.accept(new CommandOutcome.Unknown()));
+        return;
+      }
       deliver(entry, () -> startNow(workers.get(entry.id()), entry, command), done);
     }
 
@@ -380,6 +407,10 @@
       if (clock(worker) > command.leaseEndMillis()) {
         return new CommandOutcome.Refused(Refusal.LATE);
       }
+      if (worker.startsToRefuse > 0) {
+        worker.startsToRefuse--;
+        return new CommandOutcome.Refused(worker.refusal);
+      }
       checkStart(worker, command.task(), command.run(), command.payload());
       starts++;
       JobSpec spec = submitted.get(command.task().job());
