Split the intake of jobs off the cell

Submission, admission and the durable answer to the caller now stand in JobIntake; the cell only reacts to a changed acceptance. No decision changes: WorkCellTest, WorkCellFaultTest and JobRecorderTest pass unchanged (59 tests of the package).

--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -25,7 +24,6 @@
 import org.vanillacove.coordination.work.api.WorkerEntry;
 import org.vanillacove.protocol.timer.TimerService;
 import org.vanillacove.state.api.Resources;
-import org.vanillacove.state.work.AdmissionPolicy;
 import org.vanillacove.state.work.JobSpec;
 import org.vanillacove.state.work.QueuePolicy;
 
@@ -43,9 +41,6 @@
   /** Period of the maintenance pass, which also detects lapsed leases. */
   private static final Duration CHECK_PERIOD = Duration.ofMillis(250);
 
-  /** Retry delay for submissions that are rejected for a missing queue or an unavailable store. */
-  private static final Duration REJECTION_RETRY_DELAY = Duration.ofSeconds(2);
-
   /** Maximum time for which a former leader renews leases after a newer leadership claim. */
   private static final long MAX_FORMER_LEADER_MILLIS = 3_500;
 
@@ -91,8 +86,8 @@
   /** Receives the events of all worker sessions. */
   private final SessionCallbacks sessionCallbacks = new SessionCallbacks();
 
-  /** Callers whose submission waits until the job is durable. */
-  private final PendingCallers<SubmitOutcome> pendingSubmissions = new PendingCallers<>();
+  /** Accepts or rejects submitted jobs. */
+  private final JobIntake intake;
 
   /** Callers whose cancellation waits until it is durable. */
   private final PendingCallers<CancelOutcome> pendingCancellations = new PendingCallers<>();
@@ -132,6 +127,9 @@
     gangs = new GangSupervisor(jobs, timer);
     dispatcher =
         new Dispatcher(jobs, workers, this::queue, this::areRunsKnown, advice, gangs, timer);
+    intake =
+        new JobIntake(
+            jobs, workers, this::queue, recorder, term.metrics(), timer, this::acceptanceChanged);
     formerLeasesEndMillis =
         timer.monotonicMillis()
             + MAX_FORMER_LEADER_MILLIS
@@ -203,34 +201,7 @@
 
   /** Submits a job; a repeated submission gets the outcome of the first one. */
   public void submit(JobSpec spec, Consumer<SubmitOutcome> done) {
-    Optional<TrackedJob> known = jobs.find(spec.id());
-    if (known.isPresent()) {
-      if (known.get().stage() == TrackedJob.Stage.ACCEPTING && recorder.isStoreUnavailable()) {
-        done.accept(new SubmitOutcome.Unknown());
-      } else if (known.get().stage() == TrackedJob.Stage.ACCEPTING) {
-        pendingSubmissions.add(spec.id(), done);
-      } else {
-        done.accept(new SubmitOutcome.Accepted());
-      }
-      return;
-    }
-    if (jobs.ended().outcome(spec.id()).isPresent()) {
-      done.accept(new SubmitOutcome.Accepted());
-      return;
-    }
-    Optional<SubmitOutcome.Rejected> rejection = rejection(spec);
-    if (rejection.isPresent()) {
-      LOG.atInfo().log(
-          "jobs: reject job=%s queue=%s reason=%s retry_ms=%d",
-          spec.id(),
-          spec.queue(),
-          rejection.get().reason(),
-          rejection.get().retryAfter().toMillis());
-      term.metrics().rejected(rejection.get().reason());
-      done.accept(rejection.get());
-      return;
-    }
-    accept(spec, done);
+    intake.submit(spec, done);
   }
 
   /** Returns the state of a job, or empty if no accepted job has this identifier. */
@@ -274,7 +245,7 @@
     check.cancel();
     recorder.close();
     workers.values().forEach(WorkerSession::close);
-    pendingSubmissions.answerAll(new SubmitOutcome.TermEnded());
+    intake.close();
     pendingCancellations.answerAll(CancelOutcome.TERM_ENDED);
   }
 
@@ -282,82 +253,13 @@
     return Optional.ofNullable(queues.get(name));
   }
 
-  private Optional<SubmitOutcome.Rejected> rejection(JobSpec spec) {
-    Optional<QueuePolicy> policy = queue(spec.queue());
-    if (policy.isEmpty()) {
-      return Optional.of(new SubmitOutcome.Rejected("no such queue", REJECTION_RETRY_DELAY));
-    }
-    if (recorder.isStoreUnavailable()) {
-      return Optional.of(new SubmitOutcome.Rejected("store away", REJECTION_RETRY_DELAY));
-    }
-    return AdmissionPolicy.rejection(admissionView(spec, policy.get()))
-        .map(retry -> new SubmitOutcome.Rejected("backlog", retry));
-  }
-
-  private AdmissionPolicy.View admissionView(JobSpec spec, QueuePolicy policy) {
-    double cores = 0;
-    for (WorkerSession worker : workers.values()) {
-      // Counts workers that are paused or haven't reported to a new leader yet, since they are
-      // usable again before the job is late.
-      if (worker.isListed()
-          && !worker.entry().draining()
-          && worker.entry().service().equals(policy.service())) {
-        cores += worker.capacity().cpuMillis() / 1000.0;
-      }
-    }
-    double backlog = 0;
-    for (TrackedJob job : jobs.open()) {
-      if (queue(job.spec().queue()).stream().anyMatch(q -> q.priority() <= policy.priority())) {
-        backlog += job.waitingCoreMillis();
-      }
-    }
-    long slack = policy.objectiveMillis(spec) - spec.chainMillis();
-    return new AdmissionPolicy.View(cores, backlog, slack);
-  }
-
-  private void accept(JobSpec spec, Consumer<SubmitOutcome> done) {
-    QueuePolicy policy = queues.get(spec.queue());
-    TrackedJob job =
-        new TrackedJob(
-            spec,
-            timer.monotonicMillis(),
-            policy.objectiveMillis(spec),
-            TrackedJob.Stage.ACCEPTING,
-            false);
-    jobs.add(job);
-    pendingSubmissions.add(spec.id(), done);
-    recorder.accept(
-        JobRecords.JOB + spec.id(),
-        JobRecords.job(spec, timer.wallMillis()),
-        writeOutcome -> accepted(job, writeOutcome));
-    job.steps().stream().filter(job::isReady).forEach(step -> dispatcher.prefetchAdvice(job, step));
-  }
-
-  private void accepted(TrackedJob job, JobRecorder.WriteOutcome writeOutcome) {
-    SubmitOutcome outcome =
-        switch (writeOutcome) {
-          case STORED -> new SubmitOutcome.Accepted();
-          case NOT_STORED -> new SubmitOutcome.Rejected("store away", REJECTION_RETRY_DELAY);
-          case UNKNOWN ->
-              recorder.isClosed() ? new SubmitOutcome.TermEnded() : new SubmitOutcome.Unknown();
-        };
-    long millis = timer.monotonicMillis() - job.submittedMillis();
-    if (writeOutcome == JobRecorder.WriteOutcome.STORED) {
-      term.metrics().accepted(millis);
-    } else {
-      term.metrics().rejected("acceptance " + writeOutcome.name().toLowerCase(Locale.ROOT));
-    }
-    if (writeOutcome == JobRecorder.WriteOutcome.STORED
-        && job.stage() == TrackedJob.Stage.ACCEPTING) {
-      job.setStage(TrackedJob.Stage.OPEN);
+  /** Handles a job that is being accepted or whose acceptance has become durable. */
+  private void acceptanceChanged(TrackedJob job) {
+    if (job.stage() == TrackedJob.Stage.OPEN) {
       scheduleDispatch();
-    } else if (writeOutcome == JobRecorder.WriteOutcome.NOT_STORED) {
-      jobs.remove(job);
+    } else {
+      requestAdviceForReadySteps(job);
     }
-    LOG.atInfo().log(
-        "jobs: accept job=%s queue=%s outcome=%s ms=%d",
-        job.id(), job.spec().queue(), writeOutcome, millis);
-    pendingSubmissions.answer(job.id(), outcome);
   }
 
   private void updateWorker(WorkerEntry entry) {
