Stop the run of a gang that lacks a member

Cause: a gang is placed all or nothing, but its start commands go out one by one, and nothing undid a start that failed in part. When a member was refused, lost or given up, only that member was released; the others kept their capacity until the workers ended them. A new leader took over the members that its predecessor had started and waited for the rest in the same way. The class of fault: an atomic decision carried out by commands that fail one at a time, without a rollback.

Change: GangSupervisor follows each run of a gang. If a member is refused, lost or given up, or ends before the run is complete, or the run is not complete a second before its members give up (gang_wait_ms of the settings), all its members are stopped and the gang waits again. An incomplete run of a former leader is stopped once all workers have reported. A run whose members make progress is complete, even if an answer is missing.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
@@ -50,7 +50,7 @@
   /** Queues calls to the adviser. */
   private final AdviceScheduler advice;
 
-  /** Follows the runs of gangs. */
+  /** Stops runs of gangs that lack a member. */
   private final GangSupervisor gangs;
 
   /** Clock for ticket expiry and service order. */
--- a/coordination/src/main/java/org/vanillacove/coordination/work/TaskRun.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/TaskRun.java
@@ -26,6 +26,9 @@
   /** Monotonic time at which the percentage last changed, in milliseconds. */
   private long progressMillis;
 
+  /** Whether the percentage differed between two reports. */
+  private boolean progressed;
+
   /** Creates a run in {@code phase}. */
   TaskRun(TaskName task, int number, Resources demand, Phase phase) {
     this.task = task;
@@ -89,12 +92,17 @@
   /** Updates the percentage of completed work; returns for how long it hasn't changed. */
   long updateProgress(int newPercent, long nowMillis) {
     if (newPercent != percent) {
+      progressed = percent >= 0;
       percent = newPercent;
       progressMillis = nowMillis;
     }
     return nowMillis - progressMillis;
   }
 
+  boolean hasProgressed() {
+    return progressed;
+  }
+
   /** Returns whether a report requested at {@code sentMillis} must list the run if it exists. */
   boolean isSettledBefore(long sentMillis) {
     return phase != Phase.ORDERED && answeredMillis < sentMillis;
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -23,7 +23,6 @@
 import org.vanillacove.coordination.work.api.WorkerClient.Refusal;
 import org.vanillacove.coordination.work.api.WorkerEntry;
 import org.vanillacove.protocol.timer.TimerService;
-import org.vanillacove.state.api.Resources;
 import org.vanillacove.state.work.JobSpec;
 import org.vanillacove.state.work.QueuePolicy;
 
@@ -77,7 +76,7 @@
   /** Schedules the calls to the adviser. */
   private final AdviceScheduler advice;
 
-  /** Follows the runs of gangs. */
+  /** Stops runs of gangs that lack a member. */
   private final GangSupervisor gangs;
 
   /** Places waiting tasks on workers and starts them. */
@@ -124,7 +123,7 @@
     recorder = new JobRecorder(store, timer, term.fenced());
     endedJobs = new EndedJobsCleanup(jobs, recorder, term.statusMillis());
     advice = new AdviceScheduler(adviser, timer, this::scheduleDispatch);
-    gangs = new GangSupervisor(jobs, timer);
+    gangs = new GangSupervisor(jobs, timer, term.gangWaitMillis(), this::stopRun);
     dispatcher =
         new Dispatcher(jobs, workers, this::queue, this::areRunsKnown, advice, gangs, timer);
     intake =
@@ -141,11 +140,17 @@
    * Properties that stay the same during a term.
    *
    * @param leaseMillis length of worker leases in milliseconds
+   * @param gangWaitMillis time in milliseconds for which a member of a gang waits for the others
    * @param statusMillis time in milliseconds for which the state of an ended job can be queried
    * @param fenced called when a newer leader is detected
    * @param metrics counters and timers of scheduling decisions
    */
-  public record Term(long leaseMillis, long statusMillis, Runnable fenced, CellMetrics metrics) {}
+  public record Term(
+      long leaseMillis,
+      long gangWaitMillis,
+      long statusMillis,
+      Runnable fenced,
+      CellMetrics metrics) {}
 
   /** Restores jobs and workers from all durable records; called once, before any other method. */
   public void load(List<KeyedRecord> records) {
@@ -303,6 +308,7 @@
     if (now > formerLeasesEndMillis && !unreportedWorkers.isEmpty()) {
       LOG.atInfo().log("workers: leases of former leaders expired workers=%s", unreportedWorkers);
       unreportedWorkers.clear();
+      gangs.stopIncompleteRuns();
     }
     workers.values().removeIf(this::closeIfGone);
     endedJobs.run(now);
@@ -374,14 +380,16 @@
 
   private void stopRuns(TrackedJob job) {
     for (TrackedStep step : job.steps()) {
-      for (TrackedTask task : step.tasks()) {
-        task.worker()
-            .map(workers::get)
-            .ifPresent(worker -> worker.stop(task.name(), task.currentRun()));
-      }
+      step.tasks().forEach(this::stopRun);
     }
   }
 
+  private void stopRun(TrackedTask task) {
+    task.worker()
+        .map(workers::get)
+        .ifPresent(worker -> worker.stop(task.name(), task.currentRun()));
+  }
+
   private void runEnded(WorkerSession worker, EndedRun end) {
     Optional<TrackedTask> found = jobs.task(end.task());
     if (found.isEmpty()) {
@@ -394,7 +402,7 @@
     task.updateCheckpoint(end.checkpoint());
     task.release(end.run());
     term.metrics().countRunEvent(end.cause());
-    gangs.memberGone(end.task(), end.run(), end.cause());
+    gangs.memberEnded(end.task(), end.run(), end.cause());
     if (end.cause() != WorkerClient.EndCause.DONE) {
       LOG.atInfo().log(
           "jobs: run ended task=%s run=%d cause=%s worker=%s",
@@ -433,10 +441,8 @@
   }
 
   private void stopOtherRun(TrackedTask task, int doneRun) {
-    if (task.worker().isPresent() && task.currentRun() != doneRun) {
-      task.worker()
-          .map(workers::get)
-          .ifPresent(other -> other.stop(task.name(), task.currentRun()));
+    if (task.currentRun() != doneRun) {
+      stopRun(task);
     }
   }
 
@@ -478,18 +484,22 @@
         return new WorkerSession.FoundRun(worker.capacity(), false);
       }
       TrackedJob job = jobs.find(running.task().job()).orElseThrow();
-      Resources demand = job.steps().get(running.task().step()).spec().demand();
+      TrackedStep step = job.steps().get(running.task().step());
       TrackedTask known = task.get();
       known.observeRun(running.run());
-      boolean wanted = job.stage() == TrackedJob.Stage.OPEN && known.isWaiting();
+      boolean wanted =
+          job.stage() == TrackedJob.Stage.OPEN
+              && known.isWaiting()
+              && gangs.memberFound(step, running.run());
       if (wanted) {
         known.assign(worker.id(), running.run());
         job.markStarted();
+        gangs.memberPresent(running.task(), running.run());
       }
       LOG.atInfo().log(
           "jobs: found run task=%s run=%d worker=%s wanted=%s",
           running.task(), running.run(), worker.id(), wanted);
-      return new WorkerSession.FoundRun(demand, wanted);
+      return new WorkerSession.FoundRun(step.spec().demand(), wanted);
     }
 
     @Override
@@ -521,6 +531,16 @@
       capacityChanged();
     }
 
+    @Override
+    public void startGivenUp(WorkerSession worker, TaskRun run) {
+      gangs.memberGone(run.task(), run.number(), "UNCONFIRMED");
+    }
+
+    @Override
+    public void progressed(TaskRun run) {
+      gangs.memberWorks(run.task(), run.number());
+    }
+
     @Override
     public void leaseLapsed(WorkerSession worker) {
       worker.setRecorded(false);
@@ -571,9 +591,12 @@
 
     @Override
     public void capacityChanged() {
-      for (WorkerSession worker : workers.values()) {
-        if (worker.hasReported()) {
-          unreportedWorkers.remove(worker.id());
+      if (!unreportedWorkers.isEmpty()) {
+        workers.values().stream()
+            .filter(WorkerSession::hasReported)
+            .forEach(worker -> unreportedWorkers.remove(worker.id()));
+        if (unreportedWorkers.isEmpty()) {
+          gangs.stopIncompleteRuns();
         }
       }
       WorkCell.this.scheduleDispatch();
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -164,6 +164,12 @@
     /** Called when a start was rejected and certainly won't be executed. */
     void refused(WorkerSession worker, TaskRun run, Refusal refusal);
 
+    /** Called when a start of unknown outcome is given up, so that the run is stopped. */
+    void startGivenUp(WorkerSession worker, TaskRun run);
+
+    /** Called when a run is first seen to make progress. */
+    void progressed(TaskRun run);
+
     /** Called when the lease has lapsed; it isn't renewed until the worker is recorded again. */
     void leaseLapsed(WorkerSession worker);
 
@@ -353,17 +359,22 @@
         LOG.atInfo().log(
             "workers: start unconfirmed worker=%s task=%s run=%d refusal=%s",
             id(), run.task(), run.number(), refused.refusal());
-        stop(run.task(), run.number());
+        giveUpStart(run);
       }
       case CommandOutcome.Unknown unknown when attempt < MAX_START_ATTEMPTS ->
           timer.after(COMMAND_RETRY_DELAY, () -> startAgain(run, command, attempt + 1));
       case CommandOutcome.Unknown unknown -> {
         pause(UNHEALTHY_PAUSE_MILLIS);
-        stop(run.task(), run.number());
+        giveUpStart(run);
       }
     }
   }
 
+  private void giveUpStart(TaskRun run) {
+    stop(run.task(), run.number());
+    callbacks.startGivenUp(this, run);
+  }
+
   private void startAgain(TaskRun run, StartCommand command, int attempt) {
     if (!closed && runs.get(run.key()) == run && run.phase() == TaskRun.Phase.ORDERED) {
       sendStart(run, command, attempt);
@@ -538,7 +549,11 @@
 
   /** Stops a stalled run, so that it restarts elsewhere, and pauses new starts on this worker. */
   private void checkProgress(TaskRun run, int percent) {
+    boolean progressedBefore = run.hasProgressed();
     long stalled = run.updateProgress(percent, timer.monotonicMillis());
+    if (run.hasProgressed() && !progressedBefore) {
+      callbacks.progressed(run);
+    }
     long limit = callbacks.isGang(run.task()) ? GANG_STALL_TIMEOUT_MILLIS : STALL_TIMEOUT_MILLIS;
     if (stalled > limit) {
       LOG.atInfo().log(
--- a/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
@@ -47,7 +47,8 @@
     epoch++;
     cell =
         new WorkCell(
-            new WorkCell.Term(LEASE_MILLIS, STATUS_MILLIS, () -> {}, metrics),
+            new WorkCell.Term(
+                LEASE_MILLIS, FakeWorkers.GANG_WAIT_MILLIS, STATUS_MILLIS, () -> {}, metrics),
             timer,
             store.open(epoch),
             workers.client(epoch),
--- a/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
@@ -31,7 +31,7 @@
   private static final Duration TIMEOUT = Duration.ofMillis(500);
 
   /** Maximum wait for the other members of a gang. */
-  private static final long GANG_WAIT_MILLIS = 3_000;
+  static final long GANG_WAIT_MILLIS = 3_000;
 
   private final TimerService timer;
   private final Random random;
