Count each failed run by its number, in whatever order it is reported

Cause: a failure was counted only if its run number was higher than the last one counted, so that a report repeated after a change of leader did not count twice. Workers report in any order: after the change at 19.8 s the new leader read the failure of run 2 at 20.122 s and that of run 1 at 20.140 s, acknowledged both, counted one, and started run 11 after four failures. The class of fault: duplicates recognised by a high-water mark where messages are not ordered.

Change: the failed runs are kept as a set of numbers, also in the progress record (failed_runs). A record without them is read as its number of failures, taken for the latest runs. A failure reported after the task is done no longer counts. The fake workers count acknowledged failures by run number as well, since one run may be listed and acknowledged twice.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobRecords.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobRecords.java
@@ -6,6 +6,7 @@
 import java.util.HexFormat;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.vanillacove.protocol.generated.WorkEndedMessage;
 import org.vanillacove.protocol.generated.WorkJobMessage;
 import org.vanillacove.protocol.generated.WorkOutcomeMessage;
@@ -120,6 +121,16 @@
     }
   }
 
+  /** Returns the numbers of the failed runs of a task. */
+  static List<Integer> failedRuns(WorkTaskMessage task) {
+    if (task.getFailedRunsCount() >= task.getFailures()) {
+      return task.getFailedRunsList();
+    }
+    // Older records hold only the number of failures; these were the latest runs at the most.
+    int last = task.getLastEndedRun();
+    return IntStream.rangeClosed(last - task.getFailures() + 1, last).boxed().toList();
+  }
+
   /** Returns the stage for a recorded outcome; unrecognized outcomes count as open. */
   static TrackedJob.Stage stage(WorkOutcomeMessage outcome) {
     return switch (outcome) {
@@ -145,6 +156,7 @@
         .setIndex(task.name().index())
         .setDone(task.isDone())
         .setFailures(task.failures())
+        .addAllFailedRuns(task.failedRuns())
         .setLastEndedRun(task.lastCountedRun())
         .setCheckpoint(task.isDone() ? "" : task.checkpoint())
         .build();
--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobTable.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobTable.java
@@ -135,7 +135,7 @@
               task -> {
                 task.restore(
                     each.getDone(),
-                    each.getFailures(),
+                    JobRecords.failedRuns(each),
                     each.getLastEndedRun(),
                     each.getCheckpoint());
                 task.observeRun(each.getLastEndedRun() + INHERITED_RUN_GAP);
--- a/coordination/src/main/java/org/vanillacove/coordination/work/TrackedTask.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/TrackedTask.java
@@ -1,6 +1,10 @@
 package org.vanillacove.coordination.work;
 
+import java.util.Collection;
+import java.util.Collections;
 import java.util.Optional;
+import java.util.SortedSet;
+import java.util.TreeSet;
 import org.vanillacove.coordination.work.api.TaskName;
 
 /** Progress of a task and its known runs. */
@@ -11,8 +15,8 @@
   /** Whether a run completed the task. */
   private boolean done;
 
-  /** Number of failed runs; for a gang only the first task counts them. */
-  private int failures;
+  /** Numbers of the failed runs; for a gang only the first task holds them. */
+  private final SortedSet<Integer> failedRuns = new TreeSet<>();
 
   /** Highest run number whose completion or failure was counted. */
   private int lastCountedRun;
@@ -35,9 +39,9 @@
   }
 
   /** Restores the recorded progress of the task. */
-  void restore(boolean recordedDone, int recordedFailures, int run, String saved) {
+  void restore(boolean recordedDone, Collection<Integer> failures, int run, String saved) {
     done = recordedDone;
-    failures = recordedFailures;
+    failedRuns.addAll(failures);
     lastCountedRun = run;
     highestRun = Math.max(highestRun, run);
     checkpoint = saved;
@@ -64,7 +68,11 @@
   }
 
   int failures() {
-    return failures;
+    return failedRuns.size();
+  }
+
+  SortedSet<Integer> failedRuns() {
+    return Collections.unmodifiableSortedSet(failedRuns);
   }
 
   int lastCountedRun() {
@@ -111,13 +119,12 @@
     lastCountedRun = Math.max(lastCountedRun, run);
   }
 
-  /** Counts a failed run once; returns whether it was new. */
+  /**
+   * Counts a failed run once; returns whether it was new. Workers report in any order, so a run may
+   * be lower than one that was counted before.
+   */
   boolean countFailure(int run) {
-    if (run <= lastCountedRun) {
-      return false;
-    }
-    lastCountedRun = run;
-    failures++;
-    return true;
+    lastCountedRun = Math.max(lastCountedRun, run);
+    return failedRuns.add(run);
   }
 }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -455,6 +455,9 @@
   private void runFailed(
       WorkerSession worker, TrackedJob job, TrackedStep step, TrackedTask task, int run) {
     worker.countRunResult(true);
+    if (task.isDone()) {
+      return;
+    }
     TrackedTask counter = step.failureCounter(task);
     if (!counter.countFailure(run)) {
       return;
--- a/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
@@ -39,7 +39,7 @@
   private final Map<String, JobSpec> submitted = new HashMap<>();
   private final Set<TaskName> acknowledgedDone = new HashSet<>();
   private final Set<TaskName> done = new HashSet<>();
-  private final Map<TaskName, Integer> acknowledgedFailures = new HashMap<>();
+  private final Map<TaskName, Set<Integer>> acknowledgedFailures = new HashMap<>();
   private final Set<String> unlisted = new HashSet<>();
   private final List<String> violations = new ArrayList<>();
   private final List<TaskName> aloneEnds = new ArrayList<>();
@@ -133,6 +133,14 @@
     workers.get(id).startsUnanswered = dropped;
   }
 
+  /** Lets a worker report the end of a run that it executed for a former leader. */
+  void addEnd(String id, TaskName task, int run, WorkerClient.EndCause cause) {
+    Worker worker = workers.get(id);
+    worker.lastEndNumber++;
+    worker.highestEndedRun.merge(task, run, Math::max);
+    worker.ended.add(new WorkerClient.EndedRun(worker.lastEndNumber, task, run, cause, ""));
+  }
+
   /** Stops or resumes the progress of all runs on a worker. */
   void hang(String id, boolean hanging) {
     workers.get(id).hanging = hanging;
@@ -290,7 +298,7 @@
     if (step.maxPerWorker() > 0 && same > step.maxPerWorker()) {
       violations.add("too many tasks of the step of " + task + " on " + worker.entry.id());
     }
-    if (acknowledgedFailures.getOrDefault(task, 0) >= maxAttempts) {
+    if (acknowledgedFailures.getOrDefault(task, Set.of()).size() >= maxAttempts) {
       violations.add("start of " + task + " beyond the maximum of attempts");
     }
   }
@@ -383,7 +391,9 @@
           if (end.cause() == EndCause.DONE) {
             acknowledgedDone.add(end.task());
           } else if (end.cause() == EndCause.FAILED) {
-            acknowledgedFailures.merge(end.task(), 1, Integer::sum);
+            acknowledgedFailures
+                .computeIfAbsent(end.task(), task -> new HashSet<>())
+                .add(end.run());
           }
         }
       }
