Judge inherited runs of gangs only once all runs are known

Had the term lasted, a complete gang of a former leader could have been stopped while some of its workers had not reported yet.

A run that is found on a worker gets no timeout any more: it is judged when all workers have reported or their leases are over. A closed cell stops nothing and writes no line.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/GangSupervisor.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/GangSupervisor.java
@@ -34,6 +34,9 @@
   /** Stops the current run of a task. */
   private final Consumer<TrackedTask> stopper;
 
+  /** Whether the term has ended. */
+  private boolean closed;
+
   /**
    * Creates a supervisor over the cell's jobs.
    *
@@ -54,8 +57,7 @@
 
   /** Begins to follow run {@code number} of a gang, whose start commands are sent now. */
   void placed(TrackedStep step, int number) {
-    GangRun gang = new GangRun(number, step.spec().count(), timer.monotonicMillis());
-    step.setGangRun(gang);
+    GangRun gang = follow(step, number);
     timer.after(completionTimeout, () -> stopIfIncomplete(step, gang, "TIMEOUT"));
   }
 
@@ -70,7 +72,7 @@
     Optional<GangRun> known = step.gangRun();
     if (known.isEmpty() || known.get().number() < run) {
       known.ifPresent(older -> stopRun(step, older, "NEWER_RUN"));
-      placed(step, run);
+      follow(step, run);
       return true;
     }
     return known.get().number() == run && !known.get().isOver();
@@ -123,6 +125,17 @@
     }
   }
 
+  /** Ends the term: runs are left to the next leader. */
+  void close() {
+    closed = true;
+  }
+
+  private GangRun follow(TrackedStep step, int number) {
+    GangRun gang = new GangRun(number, step.spec().count(), timer.monotonicMillis());
+    step.setGangRun(gang);
+    return gang;
+  }
+
   private void stopIfIncomplete(TrackedStep step, GangRun gang, Object reason) {
     if (!gang.isComplete()) {
       stopRun(step, gang, reason);
@@ -130,7 +143,7 @@
   }
 
   private void stopRun(TrackedStep step, GangRun gang, Object reason) {
-    if (!gang.end()) {
+    if (closed || !gang.end()) {
       return;
     }
     LOG.atInfo().log(
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -249,6 +249,7 @@
     closed = true;
     check.cancel();
     recorder.close();
+    gangs.close();
     workers.values().forEach(WorkerSession::close);
     intake.close();
     pendingCancellations.answerAll(CancelOutcome.TERM_ENDED);
--- a/coordination/src/test/java/org/vanillacove/coordination/work/GangLeftAloneTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/GangLeftAloneTest.java
@@ -63,6 +63,19 @@
     checkEnd(fixture);
   }
 
+  @Test
+  void completeGangContinuesUnderTheNextLeaderWhileAWorkerIsSilent() {
+    CellFixture fixture = startedFixture();
+    fixture.submit(CellFixture.job(ID, CellFixture.step(6, 8_000, 5_000, true, List.of())));
+    fixture.run(500);
+    fixture.workers.disconnect("w3", true);
+    fixture.startLeader();
+    fixture.run(3_500);
+    fixture.workers.disconnect("w3", false);
+    checkEnd(fixture);
+    assertThat(fixture.workers.starts()).isEqualTo(6);
+  }
+
   private static CellFixture startedFixture() {
     CellFixture fixture = new CellFixture(1, false);
     fixture.startLeader();
