Record the outcome of a job before its acceptance is dropped

A job could become unknown to its caller (410 for an accepted job), or run a second time, if the leader was lost between the two appends of its end.

Cause: the end of a job is two records, the removal of its acceptance and its outcome, in this order. They share an append except when more than 300 records wait, as after an outage of the store. Loading, on the other hand, took each acceptance for an open job, even beside a recorded outcome. The class of fault: two records that must change together, written in the order that loses information when only the first one lands.

Change: the outcome goes first, and a loaded acceptance with an outcome is dropped instead of run.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobTable.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobTable.java
@@ -32,6 +32,9 @@
   /** Outcomes of ended jobs that can still be queried. */
   private final EndedJobs ended = new EndedJobs();
 
+  /** Ended jobs whose acceptance was still in the store when the records were loaded. */
+  private final Set<String> undroppedJobs = new HashSet<>();
+
   Optional<TrackedJob> find(String id) {
     return Optional.ofNullable(jobs.get(id));
   }
@@ -52,6 +55,14 @@
     return Collections.unmodifiableSet(recordedWorkers);
   }
 
+  /**
+   * Returns the ended jobs whose acceptance must be removed from the store: their leader was lost
+   * after it had recorded the outcome.
+   */
+  Set<String> undroppedJobs() {
+    return Collections.unmodifiableSet(undroppedJobs);
+  }
+
   void add(TrackedJob job) {
     jobs.put(job.id(), job);
     if (!job.stage().isFinal()) {
@@ -113,6 +124,10 @@
   }
 
   private void addInherited(JobSpec spec, long acceptedMillis, long objectiveMillis) {
+    if (ended.outcome(spec.id()).isPresent()) {
+      undroppedJobs.add(spec.id());
+      return;
+    }
     TrackedJob job =
         new TrackedJob(spec, acceptedMillis, objectiveMillis, TrackedJob.Stage.OPEN, true);
     job.steps().stream()
@@ -125,7 +140,10 @@
     TrackedJob.Stage stage = JobRecords.stage(message.getOutcome());
     if (stage.isFinal()) {
       TrackedJob known = jobs.remove(id);
-      open.remove(known);
+      if (known != null) {
+        open.remove(known);
+        undroppedJobs.add(id);
+      }
       ended.add(id, stage, nowMillis);
       return;
     }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -159,6 +159,7 @@
         timer.monotonicMillis(),
         timer.wallMillis(),
         spec -> queue(spec.queue()).map(q -> q.objectiveMillis(spec)).orElse(0L));
+    jobs.undroppedJobs().forEach(this::dropAcceptance);
     unreportedWorkers.addAll(jobs.recordedWorkers());
     LOG.atInfo().log(
         "jobs: loaded records=%d open=%d workers=%d",
@@ -347,16 +348,21 @@
 
   private void finish(TrackedJob job, TrackedJob.Stage pendingStage, TrackedJob.Stage durable) {
     job.setStage(pendingStage);
-    recorder.write(JobRecords.JOB + job.id(), () -> ByteString.EMPTY, () -> {});
+    // The outcome goes first: a job that is dropped without an outcome would be unknown.
     recorder.write(
         JobRecords.PROGRESS + job.id(),
         () -> JobRecords.progress(job),
         () -> finished(job, durable));
+    dropAcceptance(job.id());
     if (pendingStage != TrackedJob.Stage.CANCELLING) {
       stopRuns(job);
     }
   }
 
+  private void dropAcceptance(String jobId) {
+    recorder.write(JobRecords.JOB + jobId, () -> ByteString.EMPTY, () -> {});
+  }
+
   private void finished(TrackedJob job, TrackedJob.Stage durable) {
     job.setStage(durable);
     jobs.finished(job, timer.monotonicMillis());
--- a/coordination/src/test/java/org/vanillacove/coordination/work/FakeStore.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/FakeStore.java
@@ -23,6 +23,7 @@
 
   private final TimerService timer;
   private final Map<String, KeyedRecord> newest = new LinkedHashMap<>();
+  private final List<String> writtenKeys = new ArrayList<>();
   private long epoch;
   private int nextSequence;
   private int appends;
@@ -60,6 +61,23 @@
     return new ArrayList<>(newest.values());
   }
 
+  /** Returns the keys of all records and deletions, in the order in which they were applied. */
+  List<String> writtenKeys() {
+    return writtenKeys;
+  }
+
+  KeyedRecord record(String key) {
+    return newest.get(key);
+  }
+
+  void put(KeyedRecord record) {
+    newest.put(record.key(), record);
+  }
+
+  void remove(String key) {
+    newest.remove(key);
+  }
+
   boolean holds(String key) {
     return newest.containsKey(key);
   }
@@ -98,6 +116,7 @@
     }
     nextSequence++;
     for (KeyedRecord each : records) {
+      writtenKeys.add(each.key());
       if (each.value().isEmpty()) {
         newest.remove(each.key());
       } else {
