--- a/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellFaultTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellFaultTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.vanillacove.coordination.work.api.JobView;
 import org.vanillacove.coordination.work.api.SubmitOutcome;
+import org.vanillacove.coordination.work.api.WorkerClient;
 import org.vanillacove.state.api.Resources;
 import org.vanillacove.state.work.JobSpec;
 import org.vanillacove.state.work.StepSpec;
@@ -48,6 +49,63 @@
     assertThat(fixture.workers.running()).isZero();
   }
 
+  // With refused starts and changes of leader as the only faults, no gang has a reason to be alone.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+  void gangsAreNeverAloneWhenStartsAreRefused(long seed) {
+    Random random = new Random(seed);
+    boolean advised = seed % 2 == 0;
+    // The adviser allows a step some of the workers only, on which wide gangs never fit.
+    int maxMembers = advised ? 4 : 10;
+    CellFixture fixture = new CellFixture(seed, advised);
+    fixture.workers.attempts(3, 0.05);
+    fixture.startLeader();
+    fixture.run(1_000);
+    List<JobSpec> jobs = new ArrayList<>();
+    for (int round = 0; round < ROUNDS; round++) {
+      applyRefusalEvent(fixture, random, jobs, maxMembers);
+      fixture.timer.advance(50L * (1 + random.nextInt(8)));
+      assertThat(fixture.workers.violations()).as("round %d", round).isEmpty();
+    }
+    fixture.run(RECOVERY_MILLIS);
+    assertThat(fixture.workers.aloneEnds()).isEmpty();
+    assertThat(fixture.workers.violations()).isEmpty();
+    for (JobSpec job : jobs) {
+      checkEnd(fixture, job.id(), Set.of());
+    }
+  }
+
+  private static void applyRefusalEvent(
+      CellFixture fixture, Random random, List<JobSpec> jobs, int maxMembers) {
+    WorkerClient.Refusal[] refusals = {
+      WorkerClient.Refusal.TICKET,
+      WorkerClient.Refusal.UNHEALTHY,
+      WorkerClient.Refusal.NO_ROOM,
+      WorkerClient.Refusal.UNREACHABLE
+    };
+    switch (random.nextInt(5)) {
+      case 0 -> fixture.startLeader();
+      case 1, 2 ->
+          fixture.workers.refuseStarts(
+              "w" + random.nextInt(6),
+              1 + random.nextInt(3),
+              refusals[random.nextInt(refusals.length)]);
+      default -> {
+        JobSpec job =
+            CellFixture.job(
+                String.format("%016x", jobs.size() + 1),
+                CellFixture.step(
+                    2 + random.nextInt(maxMembers - 1),
+                    1_000 + random.nextInt(3_000),
+                    200 + random.nextInt(2_000),
+                    true,
+                    List.of()));
+        jobs.add(job);
+        fixture.submit(job);
+      }
+    }
+  }
+
   private static void applyRandomEvent(
       CellFixture fixture, Random random, List<JobSpec> jobs, Set<String> cancelled) {
     String worker = "w" + random.nextInt(6);
