Count stopped gangs and time how long a gang takes to be complete

The lines on gangs tell one run from another, but say nothing of how often and how late. gangs_stopped_total counts the runs that were stopped by the reason of the line, gangs_completion_seconds has the time until all members are confirmed. The reasons are an enum beside the refusals and the causes of ends, instead of free text. No decision changes; GangLeftAloneTest checks both meters for each of its refusals.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/CellMetrics.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/CellMetrics.java
@@ -22,12 +22,16 @@
   /** Time from the readiness of a step to the start of each of its tasks. */
   private final Timer placement;
 
+  /** Time from the first start command of a gang's run until all members are confirmed. */
+  private final Timer gangCompletion;
+
   /** Creates meters in {@code registry}. */
   public CellMetrics(MeterRegistry registry) {
     this.registry = registry;
     acceptance = timer("jobs.acceptance");
     completion = timer("jobs.completion");
     placement = timer("steps.placement");
+    gangCompletion = timer("gangs.completion");
   }
 
   void accepted(long millis) {
@@ -53,6 +57,15 @@
     count("runs", name(kind));
   }
 
+  void gangCompleted(long millis) {
+    gangCompletion.record(Duration.ofMillis(millis));
+  }
+
+  /** Counts a stopped run of a gang by the refusal, end or shortfall of its members. */
+  void gangStopped(Enum<?> reason) {
+    count("gangs.stopped", name(reason));
+  }
+
   private Timer timer(String name) {
     return Timer.builder(name)
         .publishPercentileHistogram()
--- a/coordination/src/main/java/org/vanillacove/coordination/work/GangSupervisor.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/GangSupervisor.java
@@ -28,6 +28,9 @@
   /** Clock and timers; callbacks run on the scheduling thread. */
   private final TimerService timer;
 
+  /** Counts stopped runs and the time until a run is complete. */
+  private final CellMetrics metrics;
+
   /** Time in which all members of a run must be present. */
   private final Duration completionTimeout;
 
@@ -42,23 +45,43 @@
    *
    * @param jobs all known jobs
    * @param timer clock and timers; callbacks run on the scheduling thread
+   * @param metrics counts stopped runs and the time until a run is complete
    * @param gangWaitMillis time in milliseconds for which a member waits at its worker for the
    *     others
    * @param stopper stops the current run of a task
    */
   GangSupervisor(
-      JobTable jobs, TimerService timer, long gangWaitMillis, Consumer<TrackedTask> stopper) {
+      JobTable jobs,
+      TimerService timer,
+      CellMetrics metrics,
+      long gangWaitMillis,
+      Consumer<TrackedTask> stopper) {
     this.jobs = jobs;
     this.timer = timer;
+    this.metrics = metrics;
     this.stopper = stopper;
     completionTimeout =
         Duration.ofMillis(Math.max(gangWaitMillis / 2, gangWaitMillis - STOP_MARGIN_MILLIS));
   }
 
+  /** Reason why a run lacks members, other than the refusal or the end of one of them. */
+  enum Shortfall {
+    /** A member is gone from its worker without a reported end. */
+    LOST,
+    /** The start of a member is given up; its outcome isn't known. */
+    UNCONFIRMED,
+    /** The run isn't complete in time. */
+    TIMEOUT,
+    /** A former leader started only some of the members. */
+    NOT_STARTED,
+    /** A member of a newer run was found. */
+    NEWER_RUN
+  }
+
   /** Begins to follow run {@code number} of a gang, whose start commands are sent now. */
   void placed(TrackedStep step, int number) {
     GangRun gang = follow(step, number);
-    timer.after(completionTimeout, () -> stopIfIncomplete(step, gang, "TIMEOUT"));
+    timer.after(completionTimeout, () -> stopIfIncomplete(step, gang, Shortfall.TIMEOUT));
   }
 
   /**
@@ -71,7 +94,7 @@
     }
     Optional<GangRun> known = step.gangRun();
     if (known.isEmpty() || known.get().number() < run) {
-      known.ifPresent(older -> stopRun(step, older, "NEWER_RUN"));
+      known.ifPresent(older -> stopRun(step, older, Shortfall.NEWER_RUN));
       follow(step, run);
       return true;
     }
@@ -82,11 +105,7 @@
   void memberPresent(TaskName task, int run) {
     current(task, run)
         .filter(gang -> gang.confirm(task.index()))
-        .ifPresent(
-            gang ->
-                LOG.atInfo().log(
-                    "jobs: gang complete job=%s step=%d run=%d members=%d ms=%d",
-                    task.job(), task.step(), run, gang.size(), ageMillis(gang)));
+        .ifPresent(gang -> completed(task, gang));
   }
 
   /** Records that a member makes progress, which shows that all members are present. */
@@ -106,7 +125,7 @@
   }
 
   /** Records that a member was refused or lost, or that its start is given up. */
-  void memberGone(TaskName task, int run, Object reason) {
+  void memberGone(TaskName task, int run, Enum<?> reason) {
     current(task, run).ifPresent(gang -> stopRun(step(task).orElseThrow(), gang, reason));
   }
 
@@ -120,7 +139,8 @@
         job.steps()
             .forEach(
                 step ->
-                    step.gangRun().ifPresent(gang -> stopIfIncomplete(step, gang, "NOT_STARTED")));
+                    step.gangRun()
+                        .ifPresent(gang -> stopIfIncomplete(step, gang, Shortfall.NOT_STARTED)));
       }
     }
   }
@@ -130,22 +150,30 @@
     closed = true;
   }
 
+  private void completed(TaskName task, GangRun gang) {
+    metrics.gangCompleted(ageMillis(gang));
+    LOG.atInfo().log(
+        "jobs: gang complete job=%s step=%d run=%d members=%d ms=%d",
+        task.job(), task.step(), gang.number(), gang.size(), ageMillis(gang));
+  }
+
   private GangRun follow(TrackedStep step, int number) {
     GangRun gang = new GangRun(number, step.spec().count(), timer.monotonicMillis());
     step.setGangRun(gang);
     return gang;
   }
 
-  private void stopIfIncomplete(TrackedStep step, GangRun gang, Object reason) {
+  private void stopIfIncomplete(TrackedStep step, GangRun gang, Enum<?> reason) {
     if (!gang.isComplete()) {
       stopRun(step, gang, reason);
     }
   }
 
-  private void stopRun(TrackedStep step, GangRun gang, Object reason) {
+  private void stopRun(TrackedStep step, GangRun gang, Enum<?> reason) {
     if (closed || !gang.end()) {
       return;
     }
+    metrics.gangStopped(reason);
     LOG.atInfo().log(
         "jobs: gang stopped job=%s step=%d run=%d members=%d present=%d ms=%d reason=%s",
         step.tasks().getFirst().name().job(),
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -123,7 +123,7 @@
     recorder = new JobRecorder(store, timer, term.fenced());
     endedJobs = new EndedJobsCleanup(jobs, recorder, term.statusMillis());
     advice = new AdviceScheduler(adviser, timer, this::scheduleDispatch);
-    gangs = new GangSupervisor(jobs, timer, term.gangWaitMillis(), this::stopRun);
+    gangs = new GangSupervisor(jobs, timer, term.metrics(), term.gangWaitMillis(), this::stopRun);
     dispatcher =
         new Dispatcher(jobs, workers, this::queue, this::areRunsKnown, advice, gangs, timer);
     intake =
@@ -543,7 +543,7 @@
 
     @Override
     public void startGivenUp(WorkerSession worker, TaskRun run) {
-      gangs.memberGone(run.task(), run.number(), "UNCONFIRMED");
+      gangs.memberGone(run.task(), run.number(), GangSupervisor.Shortfall.UNCONFIRMED);
     }
 
     @Override
@@ -585,7 +585,7 @@
           "jobs: run lost task=%s run=%d worker=%s phase=%s",
           run.task(), run.number(), worker.id(), run.phase());
       jobs.task(run.task()).ifPresent(task -> task.release(run.number()));
-      gangs.memberGone(run.task(), run.number(), "LOST");
+      gangs.memberGone(run.task(), run.number(), GangSupervisor.Shortfall.LOST);
       capacityChanged();
     }
 
--- a/coordination/src/test/java/org/vanillacove/coordination/work/GangLeftAloneTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/GangLeftAloneTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Locale;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -28,6 +29,9 @@
     CellFixture fixture = startedFixture();
     fixture.workers.refuseStarts("w3", 1, refusal);
     submitAndCheck(fixture);
+    String reason = refusal.name().toLowerCase(Locale.ROOT);
+    assertThat(fixture.registry.counter("gangs.stopped", "outcome", reason).count()).isEqualTo(1);
+    assertThat(fixture.registry.get("gangs.completion").timer().count()).isEqualTo(1);
   }
 
   @Test
