Fail a job only by the attempts of a configured queue

Cause: the number of attempts was taken as 1 while the queue is not configured. A leader that has just restarted can have loaded the records before it has read the configuration; the first failure that a worker reports then ended the job. The class of fault: a default that decides, where the input is merely not known yet.

Change: while the queue is unknown, failures are counted and recorded, and nothing is decided; the decision is made when the configuration arrives or the records are loaded. Nothing starts before that, as before.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/TrackedJob.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/TrackedJob.java
@@ -120,6 +120,16 @@
     return steps.stream().allMatch(TrackedStep::isDone);
   }
 
+  /** Returns the highest number of failures of a task that isn't done. */
+  int maxFailures() {
+    return steps.stream()
+        .flatMap(step -> step.tasks().stream())
+        .filter(task -> !task.isDone())
+        .mapToInt(TrackedTask::failures)
+        .max()
+        .orElse(0);
+  }
+
   /** Returns the estimated run time of {@code step} and its direct unfinished successors. */
   long remainingMillis(TrackedStep step) {
     long remaining = step.spec().estimateMillis();
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -160,6 +160,7 @@
         timer.wallMillis(),
         spec -> queue(spec.queue()).map(q -> q.objectiveMillis(spec)).orElse(0L));
     jobs.undroppedJobs().forEach(this::dropAcceptance);
+    failExhaustedJobs();
     unreportedWorkers.addAll(jobs.recordedWorkers());
     LOG.atInfo().log(
         "jobs: loaded records=%d open=%d workers=%d",
@@ -170,6 +171,7 @@
   /** Replaces the configured queues. */
   public void configure(Map<String, QueuePolicy> configured) {
     queues = Map.copyOf(configured);
+    failExhaustedJobs();
     scheduleDispatch();
   }
 
@@ -469,14 +471,26 @@
     if (!counter.countFailure(run)) {
       return;
     }
-    int attempts = queue(job.spec().queue()).map(QueuePolicy::maxAttempts).orElse(1);
-    if (counter.failures() >= attempts) {
+    if (isExhausted(job)) {
       finish(job, TrackedJob.Stage.FAILING, TrackedJob.Stage.FAILED);
     } else {
       writeProgress(job);
     }
   }
 
+  private void failExhaustedJobs() {
+    jobs.open().stream()
+        .filter(job -> job.stage() == TrackedJob.Stage.OPEN && isExhausted(job))
+        .toList()
+        .forEach(job -> finish(job, TrackedJob.Stage.FAILING, TrackedJob.Stage.FAILED));
+  }
+
+  /** Returns whether a task used up its attempts; never while the queue isn't configured. */
+  private boolean isExhausted(TrackedJob job) {
+    return queue(job.spec().queue()).stream()
+        .anyMatch(policy -> job.maxFailures() >= policy.maxAttempts());
+  }
+
   /** Applies the events of worker sessions to the jobs. */
   private final class SessionCallbacks implements WorkerSession.Callbacks {
     @Override
--- a/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
@@ -41,6 +41,18 @@
   }
 
   void startLeader() {
+    openLeader();
+    configure();
+    load();
+  }
+
+  /** Starts a leader that has read the records before any configuration. */
+  void startLeaderWithoutConfiguration() {
+    openLeader();
+    load();
+  }
+
+  private void openLeader() {
     if (cell != null) {
       cell.close();
     }
@@ -53,9 +65,15 @@
             store.open(epoch),
             workers.client(epoch),
             new FakeAdviser(timer));
+  }
+
+  void configure() {
     Optional<QueuePolicy.AdvicePolicy> advice =
         advised ? Optional.of(new QueuePolicy.AdvicePolicy(50, 1, 1_500)) : Optional.empty();
     cell.configure(Map.of(QUEUE, new QueuePolicy(QUEUE, "pool", 1, 3, 4, 60_000, advice)));
+  }
+
+  private void load() {
     cell.load(store.records());
     cell.updateDirectory(workers.directory());
   }
