--- a/review/2/ForgottenWorker.java
+++ b/review/1/ForgottenWorker.java
@@ -16,7 +16,7 @@
   private ForgottenWorker() {}
 
   public static void main(String[] args) throws Exception {
-    Deployment deployment = new Deployment("2", 3);
+    Deployment deployment = new Deployment(args[0], 3);
     RunLog log = new RunLog(deployment, true);
     deployment.configure(1, Deployment.route("plans", 1, 2.2, 20_000));
     List<WorkerStandin> near =
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../standins/run-case.sh" ManyEndsDuringOutage
+exec "$(dirname "$0")/../standins/run-case.sh" ForgottenWorker 1
--- a/review/3/HopelessGang.java
+++ b/review/3/HopelessGang.java
@@ -11,7 +11,7 @@
   private HopelessGang() {}
 
   public static void main(String[] args) throws Exception {
-    Deployment deployment = new Deployment("3", 3);
+    Deployment deployment = new Deployment(args[0], 3);
     RunLog log = new RunLog(deployment, true);
     deployment.configure(
         1,
--- a/review/4/RestartedAsOtherKind.java
+++ b/review/4/RestartedAsOtherKind.java
@@ -1,21 +1,25 @@
 package review;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.IntStream;
 
 /**
- * The workers of one rack crash and start again under their ids and addresses as a smaller kind,
- * while tasks wait for room. Each writes its new entry to the store before it opens its port.
+ * Single workers, one of eight at a time, crash and start again under their ids and addresses as
+ * another, smaller kind, while tasks that need the former kind wait for room. Each worker writes
+ * its new entry to the store before it opens its port.
  */
 public final class RestartedAsOtherKind {
-  private static final int WORKERS = 6;
+  private static final int WORKERS = 8;
+  private static final int CRASHES = 5;
+  private static final int JOBS = 3;
+  private static final int TASKS = 48;
   private static final long DOWN_MILLIS = 2_000;
-  private static final String JOB = "/plans/5c0e7a21d94b36f8";
 
   private RestartedAsOtherKind() {}
 
   public static void main(String[] args) throws Exception {
-    Deployment deployment = new Deployment("4", 3);
+    Deployment deployment = new Deployment(args[0], 3);
     RunLog log = new RunLog(deployment, true);
     deployment.configure(1, Deployment.route("plans", 1, 2.2, 60_000));
     List<WorkerStandin> workers =
@@ -23,38 +27,48 @@
             .mapToObj(
                 i ->
                     new WorkerStandin(
-                        "i-worker-" + i, deployment.network + "10" + i, deployment.store, log, "a",
-                        "r1-1", 64_000, 0))
+                        "i-worker-" + i, deployment.network + (100 + i), deployment.store, log,
+                        "a", "r1-1", 64_000, 0))
             .toList();
     for (WorkerStandin worker : workers) {
       worker.start();
     }
     deployment.start();
     Thread.sleep(3_000);
-    WorkerStandin.DEMAND_CPU.put("5c0e7a21d94b36f8.0", 18_000L);
-    deployment.submit(
-        JOB,
-        "{\"spec\":\"work_ms=6200\",\"steps\":[{\"count\":36,\"cpu\":18000,\"mem_mb\":37000,"
-            + "\"estimate_ms\":6200}]}");
+    List<String> jobs = new ArrayList<>();
+    for (int i = 0; i < JOBS; i++) {
+      String id = "%016x".formatted(0x5c0e7a2100000000L + i);
+      jobs.add("/plans/" + id);
+      WorkerStandin.DEMAND_CPU.put(id + ".0", 18_000L);
+      log.requireKind(id, "a");
+      deployment.submit(
+          jobs.getLast(),
+          ("{\"spec\":\"work_ms=6200\",\"steps\":[{\"count\":%d,\"cpu\":18000,\"mem_mb\":37000,"
+                  + "\"estimate_ms\":6200,\"required_label\":\"a\"}]}")
+              .formatted(TASKS));
+    }
     Thread.sleep(2_000);
-    if (deployment.trouble) {
-      for (WorkerStandin worker : workers) {
+    for (int i = 0; i < CRASHES; i++) {
+      if (deployment.trouble) {
+        WorkerStandin worker = workers.get(i);
         deployment.note("%s crashes", worker.id);
         worker.crash();
         worker.setKind("b", 32_000);
-      }
-      Thread.sleep(DOWN_MILLIS);
-      for (WorkerStandin worker : workers) {
+        Thread.sleep(DOWN_MILLIS);
         worker.start();
-        deployment.note("%s starts again as kind b with 32,000 thousandths of a core", worker.id);
+        deployment.note(
+            "%s starts again as kind b with 32,000 thousandths of a core", worker.id);
       }
+      Thread.sleep(3_000);
     }
-    Deployment.await(60_000, () -> log.doneTasks() == 36);
+    Deployment.await(60_000, () -> log.doneTasks() == JOBS * TASKS);
     Thread.sleep(1_500);
-    deployment.note("%d starts, %d of 36 tasks done, %s", log.starts(), log.doneTasks(),
-        deployment.state(JOB));
+    jobs.forEach(deployment::state);
+    deployment.note(
+        "%d starts, %d of %d tasks done", log.starts(), log.doneTasks(), JOBS * TASKS);
     deployment.finish(
-        !log.overCapacity().isEmpty(),
-        "LIMIT: %d starts over the capacity of a worker".formatted(log.overCapacity().size()));
+        !log.overCapacity().isEmpty() || !log.wrongKind().isEmpty(),
+        "LIMIT: %d starts over the capacity of a worker; ROUTE: %d starts without the label"
+            .formatted(log.overCapacity().size(), log.wrongKind().size()));
   }
 }
--- a/review/standins/RunLog.java
+++ b/review/standins/RunLog.java
@@ -20,6 +20,8 @@
   private final List<LateStart> lateStarts = new ArrayList<>();
   private final List<String> overlaps = new ArrayList<>();
   private final List<String> overCapacity = new ArrayList<>();
+  private final Map<String, String> requiredKinds = new HashMap<>();
+  private final List<String> wrongKind = new ArrayList<>();
   private int starts;
 
   RunLog(Deployment deployment, boolean verbose) {
@@ -52,6 +54,12 @@
               .formatted(task, run, worker.id, worker.usedCpu(), worker.cpu()));
       deployment.note("LIMIT  %s", overCapacity.getLast());
     }
+    String kind = requiredKinds.getOrDefault(task.split("\\.")[0], worker.kind());
+    if (!kind.equals(worker.kind())) {
+      wrongKind.add(task + " run " + run + " on " + worker.id);
+      deployment.note(
+          "ROUTE  %s, which is of kind %s, not %s", wrongKind.getLast(), worker.kind(), kind);
+    }
     runs.put(run + "@" + worker.id, "run " + run + " on " + worker.id);
   }
 
@@ -83,6 +91,16 @@
     return List.copyOf(overCapacity);
   }
 
+  /** Names the kind of worker that all tasks of a job require by their label. */
+  synchronized void requireKind(String job, String kind) {
+    requiredKinds.put(job, kind);
+  }
+
+  /** Returns starts on a worker without the required label. */
+  synchronized List<String> wrongKind() {
+    return List.copyOf(wrongKind);
+  }
+
   /** Returns the number of starts after an end as done of which note was taken. */
   synchronized long startsAfterNotedDone() {
     return lateStarts.stream()
--- a/review/standins/WorkerStandin.java
+++ b/review/standins/WorkerStandin.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Stand-in of a worker: runs under a lease, ends that are listed until they are acknowledged (500
@@ -87,6 +88,8 @@
   private final Map<String, Run> running = new HashMap<>();
   private final Map<String, Integer> highest = new HashMap<>();
   private final List<End> ends = new ArrayList<>();
+  private final AtomicInteger openCalls = new AtomicInteger();
+  private final AtomicInteger mostCalls = new AtomicInteger();
   private final Set<String> seenConnections = new HashSet<>();
 
   WorkerStandin(
@@ -166,6 +169,11 @@
     return running.size();
   }
 
+  /** Returns the most calls that were open at the same time, each on a connection of its own. */
+  int mostCalls() {
+    return mostCalls.get();
+  }
+
   static long demand(String task) {
     String[] parts = task.split("\\.");
     return DEMAND_CPU.getOrDefault(parts[0] + "." + parts[2], 0L);
@@ -184,6 +192,7 @@
   }
 
   private void handle(HttpExchange exchange, Handler handler) throws IOException {
+    mostCalls.accumulateAndGet(openCalls.incrementAndGet(), Math::max);
     try (exchange) {
       JsonNode body = JSON.readTree(exchange.getRequestBody().readAllBytes());
       delayRequest(exchange);
@@ -193,6 +202,8 @@
       Deployment.answer(exchange, Integer.parseInt(answer.substring(0, 3)), answer.substring(3));
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
+    } finally {
+      openCalls.decrementAndGet();
     }
   }
 
