--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../standins/run-case.sh" HopelessGang 3
+exec "$(dirname "$0")/../standins/run-case.sh" ForeignEntry 3
--- a/review/standins/RunLog.java
+++ b/review/standins/RunLog.java
@@ -23,6 +23,8 @@
   private final Map<String, String> requiredKinds = new HashMap<>();
   private final List<String> wrongKind = new ArrayList<>();
   private int starts;
+  private int ends;
+  private int notedEnds;
 
   RunLog(Deployment deployment, boolean verbose) {
     this.deployment = deployment;
@@ -68,6 +70,7 @@
     if (verbose) {
       deployment.note("end    %s run %d on %s: %s", task, run, worker.id, how);
     }
+    ends++;
     active.getOrDefault(task, new HashMap<>()).remove(run + "@" + worker.id);
     if (how.equals("done")) {
       done.putIfAbsent(task, "run " + run + " on " + worker.id);
@@ -76,6 +79,7 @@
 
   @Override
   public synchronized void noted(WorkerStandin worker, String task, int run, String how) {
+    notedEnds++;
     if (how.equals("done")) {
       notedDone.add(task + " run " + run + " on " + worker.id);
     }
@@ -108,6 +112,16 @@
         .count();
   }
 
+  /** Returns the number of ends that workers have listed. */
+  synchronized int ends() {
+    return ends;
+  }
+
+  /** Returns the number of ends that were listed and not taken note of. */
+  synchronized int unnotedEnds() {
+    return ends - notedEnds;
+  }
+
   synchronized int starts() {
     return starts;
   }
