End the processes of the review's cases whatever happens, and tell errors from broken rules

Cause: an error of a script ended it with 1, and a script that was ended left its hosts running. Change: errors give 2, a shutdown hook ends the hosts; what no case uses any more is removed from the stand-ins.

--- a/review/7/RenameCase.java
+++ b/review/7/RenameCase.java
@@ -1,6 +1,7 @@
 package review2;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -27,7 +28,7 @@
   private RenameCase() {}
 
   /** Runs the case; the first argument is its folder. */
-  public static void main(String[] args) throws Exception {
+  public static void main(String[] args) throws IOException, InterruptedException {
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     Path temporary = Files.createTempDirectory("review-7-");
     int code = 2;
@@ -35,6 +36,8 @@
         Store store = new Store();
         Deployment hosts = new Deployment(temporary, record)) {
       code = run(record, store, hosts, trouble);
+    } catch (IOException e) {
+      System.out.println("the case could not run: " + e);
     } finally {
       try (var files = Files.walk(temporary)) {
         files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
@@ -44,7 +47,7 @@
   }
 
   private static int run(RunRecord record, Store store, Deployment hosts, boolean trouble)
-      throws Exception {
+      throws IOException, InterruptedException {
     Runs runs = new Runs();
     store.put("keyed.op", "config", configuration(7, "r-tensao", 3_000));
     List<Runner> runners = new ArrayList<>();
--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -25,6 +25,7 @@
   Deployment(Path folder, RunRecord record) {
     this.folder = folder;
     this.record = record;
+    Runtime.getRuntime().addShutdownHook(new Thread(this::close));
   }
 
   /** Returns an address of this run's block of loopback addresses. */
@@ -49,26 +50,10 @@
     processes.add(launch(host));
   }
 
-  /** Kills a host and starts it again. */
-  void restart(int host) throws IOException, InterruptedException {
-    kill(host);
-    processes.set(host, launch(host));
-  }
-
-  void kill(int host) throws InterruptedException {
-    record.log("host %d is killed", host);
-    processes.get(host).destroyForcibly().waitFor();
-  }
-
   void signal(int host, String name) throws IOException, InterruptedException {
     record.log("host %d gets %s", host, name);
-    new ProcessBuilder("kill", "-" + name, Long.toString(processes.get(host).pid()))
-        .start()
-        .waitFor();
-  }
-
-  boolean isAlive(int host) {
-    return processes.get(host).isAlive();
+    String command = "kill -" + name + " " + processes.get(host).pid();
+    new ProcessBuilder("sh", "-c", command).start().waitFor();
   }
 
   /** Returns the host that the newest claim in the store names; -1 if there is none. */
--- a/review/standins-2/Runner.java
+++ b/review/standins-2/Runner.java
@@ -14,7 +14,7 @@
 
 /**
  * Stand-in of a runner that starts whatever it is told to start, with a lease on its own clock,
- * fencing and lives under one id.
+ * and fencing.
  */
 final class Runner implements AutoCloseable {
   static final long HEARTBEAT_MILLIS = 1_500;
@@ -62,11 +62,10 @@
   private final RunRecord record;
   private final Watcher watcher;
 
-  private String kind;
+  private final String kind;
   private HttpServer server;
   private int port;
   private boolean up;
-  private boolean reachable = true;
   private long born;
   private long clockBase;
   private long sequence;
@@ -104,7 +103,7 @@
     Thread.ofVirtual().start(this::beat);
   }
 
-  /** Begins a life: serves at its port and registers at once. */
+  /** Serves at a free port and registers at once. */
   synchronized void start() throws IOException {
     born = System.currentTimeMillis();
     clockBase = now() - 1_000;
@@ -122,32 +121,6 @@
     register();
   }
 
-  /** Crashes: all that runs ends, and nothing is sent. */
-  void crash() {
-    HttpServer old;
-    synchronized (this) {
-      record.log("runner %s crashes running=%d", id, running.size());
-      running.forEach((task, run) -> watcher.ended(this, task, run.number, "crashed"));
-      running.clear();
-      up = false;
-      old = server;
-      notifyAll();
-    }
-    old.stop(0);
-  }
-
-  synchronized void setKind(String kind) {
-    this.kind = kind;
-  }
-
-  synchronized String kind() {
-    return kind;
-  }
-
-  synchronized int port() {
-    return port;
-  }
-
   @Override
   public void close() {
     synchronized (this) {
--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -17,24 +17,12 @@
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.TreeMap;
-import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * Stand-in of the platform's metadata store: keyed topics of one partition, writer epochs, appends
- * on condition and reads that wait. Each host has a port of its own, so that the store can turn
- * single hosts away.
+ * on condition and reads that wait.
  */
 final class Store implements AutoCloseable {
-  /** How the store treats the calls at one port. */
-  enum Mode {
-    /** Calls are done and answered. */
-    SERVE,
-    /** Calls are answered with 503 and not done. */
-    BUSY,
-    /** Calls are neither done nor answered. */
-    SILENT
-  }
-
   private record Stored(byte[] bytes, String key, byte[] value) {}
 
   private static final class Writer {
@@ -55,7 +43,6 @@
 
   private final Map<String, Topic> topics = new HashMap<>();
   private final List<HttpServer> servers = new ArrayList<>();
-  private final Map<Integer, Mode> modes = new ConcurrentHashMap<>();
 
   /** Opens a port; returns its number. */
   int open(String ip) throws IOException {
@@ -65,10 +52,6 @@
     return server.getAddress().getPort();
   }
 
-  void setMode(int port, Mode mode) {
-    modes.put(port, mode);
-  }
-
   /** Writes the newest value of a key, as an operator or a runner does; empty drops the key. */
   synchronized void put(String topic, String key, String value) {
     byte[] name = key.getBytes(StandardCharsets.UTF_8);
@@ -107,25 +90,14 @@
   }
 
   private Http.Answer handle(HttpExchange exchange, byte[] body) throws Exception {
-    int port = exchange.getLocalAddress().getPort();
-    Mode mode = modes.getOrDefault(port, Mode.SERVE);
-    if (mode == Mode.SILENT) {
-      return null;
-    }
-    if (mode == Mode.BUSY) {
-      return Http.Answer.json(503, Http.JSON.createObjectNode());
-    }
     Map<String, String> query = Http.query(exchange);
     String path = exchange.getRequestURI().getPath();
-    Http.Answer answer =
-        switch (path) {
-          case "/vanillacove/log-append" -> append(query, body);
-          case "/vanillacove/log-read" -> read(query);
-          case "/vanillacove/log-newest" -> newestPage(query);
-          default -> Http.Answer.json(404, Http.JSON.createObjectNode());
-        };
-    // A call that was waiting when the port was closed to its host is not answered either.
-    return modes.getOrDefault(port, Mode.SERVE) == Mode.SERVE ? answer : null;
+    return switch (path) {
+      case "/vanillacove/log-append" -> append(query, body);
+      case "/vanillacove/log-read" -> read(query);
+      case "/vanillacove/log-newest" -> newestPage(query);
+      default -> Http.Answer.json(404, Http.JSON.createObjectNode());
+    };
   }
 
   private synchronized Http.Answer append(Map<String, String> query, byte[] body)
