--- a/review/7/RenameCase.java
+++ b/review/7/RenameCase.java
@@ -91,17 +91,19 @@
       record.log("the traffic ends");
       Thread.sleep(FINISH_MILLIS);
       Set<String> idle = runs.idle(accepted);
+      long mostInUse = 0;
       for (long end = record.millis() + IDLE_MILLIS; record.millis() < end; Thread.sleep(20)) {
         idle.retainAll(runs.idle(accepted));
+        mostInUse = Math.max(mostInUse, runs.coresInUse());
       }
       for (String id : accepted) {
         Client.Answer answer = Client.call("GET", hosts.front(2), PREFIX + id, HOST, "");
         boolean completed = answer.body().contains("completed");
         record.log("client GET %s -> %d %s", id, answer.status(), answer.body());
-        if (idle.contains(id) && !completed) {
+        if (idle.contains(id) && !completed && 2 * mostInUse < RUNNERS * RUNNER_CPU / 1_000) {
           record.broken(
               "LOST: job=%s is shown as %s and has nothing running for 3 s; %d of %d cores in use",
-              id, answer.body(), runs.coresInUse(), RUNNERS * RUNNER_CPU / 1_000);
+              id, answer.body(), mostInUse, RUNNERS * RUNNER_CPU / 1_000);
         }
       }
       return record.verdict();
