Keep the address of a queue with its policy

Cause: the policy of a queue held its name only, so that nothing could tell that callers reach two queues at the same address. Change: QueuePolicy.address, the host and path prefix of the route; the test fixture keeps a list of queues. No behaviour changes.

--- a/coordination/src/test/java/org/vanillacove/coordination/work/AdviceSchedulerTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/AdviceSchedulerTest.java
@@ -29,6 +29,7 @@
   private static final QueuePolicy QUICK =
       new QueuePolicy(
           "quick",
+          "example/quick/",
           "pool",
           0,
           3,
--- a/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.vanillacove.coordination.work.api.Adviser;
 import org.vanillacove.coordination.work.api.SubmitOutcome;
 import org.vanillacove.protocol.timer.TimerService;
@@ -19,6 +21,8 @@
 /** Runs a cell over fake workers and a fake store in virtual time; the leader can be replaced. */
 final class CellFixture {
   static final String QUEUE = "plans";
+  static final String ADDRESS = "planner.example/plans/";
+  static final String SERVICE = "pool";
   static final long STATUS_MILLIS = 120_000;
   private static final long LEASE_MILLIS = 6_000;
 
@@ -30,6 +34,7 @@
   private final CellMetrics metrics = new CellMetrics(registry);
   private final boolean advised;
   private final long maxLeaseMillis;
+  private List<QueuePolicy> queues;
   private long epoch;
   private WorkCell cell;
 
@@ -42,6 +47,7 @@
     this.advised = advised;
     this.maxLeaseMillis = maxLeaseMillis;
     workers = new FakeWorkers(timer, seed, maxLeaseMillis);
+    queues = List.of(queue(QUEUE, ADDRESS, SERVICE));
     for (int i = 0; i < 6; i++) {
       workers.add("w" + i, new Resources(8_000, 32_000, 0), "r" + i / 3);
     }
@@ -53,6 +59,12 @@
     load();
   }
 
+  /** Starts a leader under a configuration that no former leader has read. */
+  void startLeader(List<QueuePolicy> configured) {
+    queues = configured;
+    startLeader();
+  }
+
   /** Starts a leader that has read the records before any configuration. */
   void startLeaderWithoutConfiguration() {
     openLeader();
@@ -79,10 +91,23 @@
             new FakeAdviser(timer));
   }
 
+  /** Puts the configuration that was set last in force. */
   void configure() {
+    cell.configure(
+        queues.stream().collect(Collectors.toMap(QueuePolicy::name, Function.identity())));
+  }
+
+  /** Replaces the configuration, for this and all later leaders. */
+  void configure(List<QueuePolicy> configured) {
+    queues = configured;
+    configure();
+  }
+
+  /** Returns a queue with the attempts and the objective of all queues of this fixture. */
+  QueuePolicy queue(String name, String address, String service) {
     Optional<QueuePolicy.AdvicePolicy> advice =
         advised ? Optional.of(new QueuePolicy.AdvicePolicy(50, 1, 1_500)) : Optional.empty();
-    cell.configure(Map.of(QUEUE, new QueuePolicy(QUEUE, "pool", 1, 3, 4, 60_000, advice)));
+    return new QueuePolicy(name, address, service, 1, 3, 4, 60_000, advice);
   }
 
   private void load() {
@@ -112,7 +137,11 @@
   }
 
   static JobSpec job(String id, StepSpec... steps) {
-    return new JobSpec(id, QUEUE, "payload of " + id, List.of(steps));
+    return job(id, QUEUE, steps);
+  }
+
+  static JobSpec job(String id, String queue, StepSpec... steps) {
+    return new JobSpec(id, queue, "payload of " + id, List.of(steps));
   }
 
   static StepSpec step(int count, long cpu, long millis, boolean gang, List<Integer> after) {
--- a/state/src/main/java/org/vanillacove/state/work/QueuePolicy.java
+++ b/state/src/main/java/org/vanillacove/state/work/QueuePolicy.java
@@ -6,6 +6,7 @@
  * Configuration of a queue.
  *
  * @param name name of the queue
+ * @param address where callers reach the queue; queues of equal address are the same to them
  * @param service pool of workers that runs its tasks
  * @param priority priority in the service order; 0 is served first
  * @param maxAttempts number of failed runs after which a task and its job fail
@@ -15,6 +16,7 @@
  */
 public record QueuePolicy(
     String name,
+    String address,
     String service,
     int priority,
     int maxAttempts,
