Keep the policy of a queue that leaves the configuration with open jobs

What callers saw: an operator gives a route another name at the same host and prefix. Cause: a job knows its queue by name only, and each decision looked the policy up in the newest configuration. Without one the dispatcher and the calls for advice passed over the job, the failed attempts of its tasks were not judged, its waiting work did not count as backlog, it was missing from the count of waiting jobs, its objective was 0 after a change of leader, and a new leader opened no session to the workers of its service. Change: QueueTable is the one place for policies. A queue that left keeps the policy of the queue that is configured at its address now, and without one its last policy. The last policy of a queue is durable before its first job and is rewritten when it changes; its record goes with its last job once the queue isn't configured. Only configured queues accept jobs. Before a configuration is read no policy applies, as before. Why it works: an accepted job has a policy at every time after a configuration has been read, whatever that holds, and on each next leader, since the store keeps the records in order.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
@@ -46,7 +46,7 @@
   /** Sessions by worker identifier; maintained by the cell. */
   private final Map<String, WorkerSession> workers;
 
-  /** Policies of queues, empty for a queue that is not configured. */
+  /** Policies for the accepted jobs of queues; empty before a configuration was read. */
   private final Function<String, Optional<QueuePolicy>> policies;
 
   /** Whether all existing runs of a job are known, so that its tasks may start. */
--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import org.vanillacove.coordination.work.api.SubmitOutcome;
 import org.vanillacove.protocol.timer.TimerService;
 import org.vanillacove.state.api.Resources;
@@ -28,8 +27,8 @@
   /** Sessions by worker identifier; maintained by the cell. */
   private final Map<String, WorkerSession> workers;
 
-  /** Policies of queues, empty for a queue that is not configured. */
-  private final Function<String, Optional<QueuePolicy>> policies;
+  /** Policies of the queues; only configured ones accept jobs. */
+  private final QueueTable queues;
 
   /** Writes the records of accepted jobs. */
   private final JobRecorder recorder;
@@ -50,14 +49,14 @@
   JobIntake(
       JobTable jobs,
       Map<String, WorkerSession> workers,
-      Function<String, Optional<QueuePolicy>> policies,
+      QueueTable queues,
       JobRecorder recorder,
       CellMetrics metrics,
       TimerService timer,
       Consumer<TrackedJob> changed) {
     this.jobs = jobs;
     this.workers = workers;
-    this.policies = policies;
+    this.queues = queues;
     this.recorder = recorder;
     this.metrics = metrics;
     this.timer = timer;
@@ -102,7 +101,7 @@
   }
 
   private Optional<SubmitOutcome.Rejected> rejection(JobSpec spec) {
-    Optional<QueuePolicy> policy = policies.apply(spec.queue());
+    Optional<QueuePolicy> policy = queues.configured(spec.queue());
     if (policy.isEmpty()) {
       return Optional.of(new SubmitOutcome.Rejected("no such queue", REJECTION_RETRY_DELAY));
     }
@@ -129,8 +128,8 @@
     double backlog = 0;
     for (TrackedJob job : jobs.open()) {
       boolean precedes =
-          policies
-              .apply(job.spec().queue())
+          queues
+              .policy(job.spec().queue())
               .filter(other -> other.priority() <= policy.priority())
               .isPresent();
       if (precedes) {
@@ -143,11 +142,13 @@
   }
 
   private void accept(JobSpec spec, Consumer<SubmitOutcome> done) {
-    long objective = policies.apply(spec.queue()).orElseThrow().objectiveMillis(spec);
+    long objective = queues.configured(spec.queue()).orElseThrow().objectiveMillis(spec);
     TrackedJob job =
         new TrackedJob(spec, timer.monotonicMillis(), objective, TrackedJob.Stage.ACCEPTING, false);
     jobs.add(job);
     callers.add(spec.id(), done);
+    // Before the job, so that no job is durable without a policy.
+    queues.recordPolicy(spec.queue());
     recorder.accept(
         JobRecords.JOB + spec.id(),
         JobRecords.job(spec, timer.wallMillis()),
--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobTable.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobTable.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.vanillacove.coordination.work.api.KeyedRecord;
 import org.vanillacove.coordination.work.api.TaskName;
 import org.vanillacove.protocol.generated.WorkProgressMessage;
@@ -57,6 +58,11 @@
     return Collections.unmodifiableSet(open);
   }
 
+  /** Returns the names of the queues that have open jobs. */
+  Set<String> openQueues() {
+    return open.stream().map(job -> job.spec().queue()).collect(Collectors.toSet());
+  }
+
   /** Returns the workers that may hold runs of a former leader, as the loaded records say. */
   Set<String> recordedWorkers() {
     return Collections.unmodifiableSet(recordedWorkers);
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -10,7 +10,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.vanillacove.coordination.work.api.Adviser;
 import org.vanillacove.coordination.work.api.CancelOutcome;
 import org.vanillacove.coordination.work.api.JobStore;
@@ -69,12 +68,12 @@
   /** Directory of workers as last read, by identifier. */
   private Map<String, WorkerEntry> directory = Map.of();
 
-  /** Configured queues by name; empty until the first configuration arrives. */
-  private Map<String, QueuePolicy> queues = Map.of();
-
   /** Writes job, progress and worker records to the store. */
   private final JobRecorder recorder;
 
+  /** Policies of the queues, also of those that left the configuration. */
+  private final QueueTable queues;
+
   /** Records of the workers that may hold runs. */
   private final WorkerRecords workerRecords;
 
@@ -138,15 +137,16 @@
     this.timer = timer;
     this.client = client;
     recorder = new JobRecorder(store, timer, term.fenced());
+    queues = new QueueTable(recorder);
     workerRecords = new WorkerRecords(recorder, this::scheduleDispatch);
     endedJobs = new EndedJobsCleanup(jobs, recorder, term.statusMillis());
     advice = new AdviceScheduler(adviser, timer, this::scheduleDispatch);
     gangs = new GangSupervisor(jobs, timer, term.metrics(), term.gangWaitMillis(), this::stopRun);
     dispatcher =
-        new Dispatcher(jobs, workers, this::queue, this::areRunsKnown, advice, gangs, timer);
+        new Dispatcher(jobs, workers, queues::policy, this::areRunsKnown, advice, gangs, timer);
     intake =
         new JobIntake(
-            jobs, workers, this::queue, recorder, term.metrics(), timer, this::acceptanceChanged);
+            jobs, workers, queues, recorder, term.metrics(), timer, this::acceptanceChanged);
     commandsAllowedUntilMillis = timer.monotonicMillis() + COMMAND_PERMISSION_MILLIS;
     permissionWallMillis = timer.wallMillis();
     unreportedWorkers =
@@ -178,12 +178,14 @@
 
   /** Restores jobs and workers from all durable records; called once, before any other method. */
   public void load(List<KeyedRecord> records) {
+    queues.load(records);
     jobs.load(
         records,
         timer.monotonicMillis(),
         timer.wallMillis(),
         term.epoch(),
-        spec -> queue(spec.queue()).map(q -> q.objectiveMillis(spec)).orElse(0L));
+        spec -> queues.newestKnown(spec.queue()).map(q -> q.objectiveMillis(spec)).orElse(0L));
+    queues.recordPolicies(jobs.openQueues());
     jobs.undroppedJobs().forEach(this::dropAcceptance);
     failExhaustedJobs();
     workerRecords.load(jobs.recordedWorkers());
@@ -194,9 +196,10 @@
     scheduleDispatch();
   }
 
-  /** Replaces the configured queues. */
+  /** Replaces the configured queues; not called before a configuration has been read. */
   public void configure(Map<String, QueuePolicy> configured) {
-    queues = Map.copyOf(configured);
+    queues.configure(configured);
+    queues.recordPolicies(jobs.openQueues());
     failExhaustedJobs();
     updateDirectory(directory);
   }
@@ -207,8 +210,7 @@
    */
   public void updateDirectory(Map<String, WorkerEntry> entries) {
     directory = Map.copyOf(entries);
-    Set<String> services =
-        queues.values().stream().map(QueuePolicy::service).collect(Collectors.toSet());
+    Set<String> services = queues.services();
     for (WorkerEntry entry : entries.values()) {
       if (services.contains(entry.service()) || mayHoldRuns(entry.id())) {
         updateWorker(entry);
@@ -296,11 +298,14 @@
     }
   }
 
-  /** Returns the number of accepted jobs of a queue of which no task has started. */
+  /**
+   * Returns the number of accepted jobs of a queue of which no task has started, including those
+   * that were accepted under a former name of the queue.
+   */
   public long waiting(String queue) {
     return jobs.open().stream()
-        .filter(job -> job.spec().queue().equals(queue) && !job.isStarted())
-        .filter(job -> job.stage() == TrackedJob.Stage.OPEN)
+        .filter(job -> job.stage() == TrackedJob.Stage.OPEN && !job.isStarted())
+        .filter(job -> queues.currentName(job.spec().queue()).equals(queue))
         .count();
   }
 
@@ -326,10 +331,6 @@
         && wallAgeMillis < COMMAND_PERMISSION_MILLIS;
   }
 
-  private Optional<QueuePolicy> queue(String name) {
-    return Optional.ofNullable(queues.get(name));
-  }
-
   /** Handles a job that is being accepted or whose acceptance has become durable. */
   private void acceptanceChanged(TrackedJob job) {
     if (job.stage() == TrackedJob.Stage.OPEN) {
@@ -368,6 +369,9 @@
     unreportedWorkers.expire(now);
     workers.values().removeIf(this::closeIfGone);
     endedJobs.run(now);
+    if (queues.keepsRemovedQueues()) {
+      queues.dropRemovedQueues(jobs.openQueues());
+    }
     advice.sendCalls();
     scheduleDispatch();
   }
@@ -537,9 +541,9 @@
         .forEach(job -> finish(job, TrackedJob.Stage.FAILING, TrackedJob.Stage.FAILED));
   }
 
-  /** Returns whether a task used up its attempts; never while the queue isn't configured. */
+  /** Returns whether a task used up its attempts; never before a configuration was read. */
   private boolean isExhausted(TrackedJob job) {
-    return queue(job.spec().queue()).stream()
+    return queues.policy(job.spec().queue()).stream()
         .anyMatch(policy -> job.maxFailures() >= policy.maxAttempts());
   }
 
