--- a/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
@@ -103,6 +103,11 @@
     configure();
   }
 
+  /** Returns the name of a configured queue, or of one that is not if none is configured. */
+  String anyQueue() {
+    return queues.isEmpty() ? QUEUE : queues.getFirst().name();
+  }
+
   /** Returns a queue with the attempts and the objective of all queues of this fixture. */
   QueuePolicy queue(String name, String address, String service) {
     Optional<QueuePolicy.AdvicePolicy> advice =
--- a/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellFaultTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellFaultTest.java
@@ -15,6 +15,7 @@
 import org.vanillacove.coordination.work.api.WorkerClient;
 import org.vanillacove.state.api.Resources;
 import org.vanillacove.state.work.JobSpec;
+import org.vanillacove.state.work.QueuePolicy;
 import org.vanillacove.state.work.StepSpec;
 
 /**
@@ -49,6 +50,37 @@
     assertThat(fixture.workers.running()).isZero();
   }
 
+  // Guards against accepted jobs that are lost by a change of their queue beside other faults.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+  void acceptedJobsEndWhenQueuesChangeUnderFaults(long seed) {
+    Random random = new Random(seed);
+    CellFixture fixture = new CellFixture(seed, seed % 2 == 0);
+    fixture.workers.attempts(3, 0.1);
+    for (int i = 0; i < 6; i++) {
+      fixture.workers.add("o" + i, "other", new Resources(8_000, 32_000, 0), "r3");
+    }
+    fixture.startLeader();
+    fixture.run(1_000);
+    List<JobSpec> jobs = new ArrayList<>();
+    Set<String> cancelled = new HashSet<>();
+    for (int round = 0; round < ROUNDS; round++) {
+      if (random.nextInt(4) == 0) {
+        changeQueues(fixture, random, round);
+      } else {
+        applyRandomEvent(fixture, random, jobs, cancelled);
+      }
+      fixture.run(250L * (1 + random.nextInt(4)));
+      assertThat(fixture.workers.violations()).as("round %d", round).isEmpty();
+    }
+    clearFaultsAndRun(fixture);
+    assertThat(fixture.workers.violations()).isEmpty();
+    for (JobSpec job : jobs) {
+      checkEnd(fixture, job.id(), cancelled);
+    }
+    assertThat(fixture.workers.running()).isZero();
+  }
+
   // With refused starts and changes of leader as the only faults, no gang has a reason to be alone.
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
@@ -75,6 +107,20 @@
     }
   }
 
+  /** Keeps, renames, moves, redirects or removes the only queue, at times with a new leader. */
+  private static void changeQueues(CellFixture fixture, Random random, int round) {
+    String name = random.nextBoolean() ? CellFixture.QUEUE : "renamed-" + round;
+    String address = random.nextInt(4) == 0 ? "planner.example/" + round : CellFixture.ADDRESS;
+    String service = random.nextInt(4) == 0 ? "other" : CellFixture.SERVICE;
+    List<QueuePolicy> queues =
+        random.nextInt(4) == 0 ? List.of() : List.of(fixture.queue(name, address, service));
+    if (random.nextInt(4) == 0) {
+      fixture.startLeader(queues);
+    } else {
+      fixture.configure(queues);
+    }
+  }
+
   private static void applyRefusalEvent(
       CellFixture fixture, Random random, List<JobSpec> jobs, int maxMembers) {
     WorkerClient.Refusal[] refusals = {
@@ -128,14 +174,14 @@
         }
       }
       default -> {
-        JobSpec job = job(random, jobs.size());
+        JobSpec job = job(random, jobs.size(), fixture.anyQueue());
         jobs.add(job);
         fixture.submit(job);
       }
     }
   }
 
-  private static JobSpec job(Random random, int number) {
+  private static JobSpec job(Random random, int number, String queue) {
     List<StepSpec> steps = new ArrayList<>();
     int count = 1 + random.nextInt(3);
     for (int i = 0; i < count; i++) {
@@ -155,7 +201,7 @@
               limit));
     }
     String id = String.format("%016x", number + 1);
-    return new JobSpec(id, CellFixture.QUEUE, "payload " + number, steps);
+    return new JobSpec(id, queue, "payload " + number, steps);
   }
 
   private static void clearFaultsAndRun(CellFixture fixture) {
