Read organisations from the configuration and keep a job's one

Two customers share their cells among organisations. Nothing decides by them yet: this is the common ground for keys, caps and shares.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobRecords.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobRecords.java
@@ -43,7 +43,8 @@
             .setId(spec.id())
             .setQueue(spec.queue())
             .setPayload(spec.payload())
-            .setAcceptedWallMillis(wallMillis);
+            .setAcceptedWallMillis(wallMillis)
+            .setOrganisation(spec.organisation().orElse(""));
     spec.steps().forEach(step -> message.addSteps(step(step)));
     return message.build().toByteString();
   }
@@ -106,7 +107,8 @@
               message.getId(),
               message.getQueue(),
               message.getPayload(),
-              message.getStepsList().stream().map(JobRecords::parseStep).toList()));
+              message.getStepsList().stream().map(JobRecords::parseStep).toList(),
+              Optional.of(message.getOrganisation()).filter(name -> !name.isEmpty())));
     } catch (InvalidProtocolBufferException e) {
       return Optional.empty();
     }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -23,6 +23,7 @@
 import org.vanillacove.coordination.work.api.WorkerClient.Refusal;
 import org.vanillacove.coordination.work.api.WorkerEntry;
 import org.vanillacove.protocol.timer.TimerService;
+import org.vanillacove.state.tenancy.OrganisationTable;
 import org.vanillacove.state.work.JobSpec;
 import org.vanillacove.state.work.QueuePolicy;
 import org.vanillacove.state.work.StallPolicy;
@@ -196,8 +197,11 @@
     scheduleDispatch();
   }
 
-  /** Replaces the configured queues; not called before a configuration has been read. */
-  public void configure(Map<String, QueuePolicy> configured) {
+  /**
+   * Replaces the configured queues and organisations; not called before a configuration has been
+   * read.
+   */
+  public void configure(Map<String, QueuePolicy> configured, OrganisationTable organisations) {
     queues.configure(configured);
     queues.recordPolicies(jobs.openQueues());
     failExhaustedJobs();
--- a/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
@@ -14,6 +14,7 @@
 import org.vanillacove.protocol.timer.TimerService;
 import org.vanillacove.standin.memory.ManualTimerService;
 import org.vanillacove.state.api.Resources;
+import org.vanillacove.state.tenancy.OrganisationTable;
 import org.vanillacove.state.work.JobSpec;
 import org.vanillacove.state.work.QueuePolicy;
 import org.vanillacove.state.work.StepSpec;
@@ -35,6 +36,10 @@
   private final boolean advised;
   private final long maxLeaseMillis;
   private List<QueuePolicy> queues;
+
+  /** Organisations of the configuration that each leader reads. */
+  private OrganisationTable organisations = OrganisationTable.NONE;
+
   private long epoch;
   private WorkCell cell;
 
@@ -94,7 +99,8 @@
   /** Puts the configuration that was set last in force. */
   void configure() {
     cell.configure(
-        queues.stream().collect(Collectors.toMap(QueuePolicy::name, Function.identity())));
+        queues.stream().collect(Collectors.toMap(QueuePolicy::name, Function.identity())),
+        organisations);
   }
 
   /** Replaces the configuration, for this and all later leaders. */
@@ -103,6 +109,12 @@
     configure();
   }
 
+  /** Replaces the organisations, for this and all later leaders. */
+  void configureOrganisations(OrganisationTable configured) {
+    organisations = configured;
+    configure();
+  }
+
   /** Returns the name of a configured queue, or of one that is not if none is configured. */
   String anyQueue() {
     return queues.isEmpty() ? QUEUE : queues.getFirst().name();
--- a/state/src/main/java/org/vanillacove/state/work/JobSpec.java
+++ b/state/src/main/java/org/vanillacove/state/work/JobSpec.java
@@ -1,6 +1,7 @@
 package org.vanillacove.state.work;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * A job as submitted.
@@ -9,13 +10,25 @@
  * @param queue name of the queue
  * @param payload opaque text passed to each task
  * @param steps steps of the job, each after its predecessors
+ * @param organisation name of the organisation that submitted it; empty if the queue needs no key
  */
-public record JobSpec(String id, String queue, String payload, List<StepSpec> steps) {
+public record JobSpec(
+    String id, String queue, String payload, List<StepSpec> steps, Optional<String> organisation) {
   /** Copies the steps, so that the specification is immutable. */
   public JobSpec {
     steps = List.copyOf(steps);
   }
 
+  /** Creates a job that belongs to no organisation. */
+  public JobSpec(String id, String queue, String payload, List<StepSpec> steps) {
+    this(id, queue, payload, steps, Optional.empty());
+  }
+
+  /** Returns this job as one of {@code name}. */
+  public JobSpec ofOrganisation(String name) {
+    return new JobSpec(id, queue, payload, steps, Optional.of(name));
+  }
+
   /** Returns the declared work of all steps in milliseconds of one core. */
   public long coreMillis() {
     return steps.stream().mapToLong(StepSpec::coreMillis).sum();
