--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -250,6 +250,16 @@
         && workers.values().stream().allMatch(WorkerSession::isReporting);
   }
 
+  /** Returns the share of the listed workers that don't answer this leader, 0 to 1. */
+  public double silentWorkerShare() {
+    long listed = workers.values().stream().filter(WorkerSession::isListed).count();
+    long silent =
+        workers.values().stream()
+            .filter(worker -> worker.isListed() && !worker.isReporting())
+            .count();
+    return listed == 0 ? 0 : (double) silent / listed;
+  }
+
   /** Returns whether the store is unavailable at present. */
   public boolean isStoreUnavailable() {
     return recorder.isStoreUnavailable();
