Tell runs that are longer than declared from stalled ones

Cause: the percentage of a run is a share of its declared work, so it stays at 100 for a run that lasts longer and for a member of a gang that waits there for a slower one. Both were stopped as stalled after 1.5 s (4 s in gangs), and a stopped member breaks the run of its whole gang.

New checkpoints count as progress. Below 100 percent the rule is the same as before.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/TaskRun.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/TaskRun.java
@@ -1,6 +1,8 @@
 package org.vanillacove.coordination.work;
 
+import java.util.OptionalLong;
 import org.vanillacove.coordination.work.api.TaskName;
+import org.vanillacove.coordination.work.api.WorkerClient.CurrentRun;
 import org.vanillacove.state.api.Resources;
 
 /** A run that uses capacity of a worker, from the start command until its end is reported. */
@@ -23,13 +25,28 @@
   /** Monotonic time in milliseconds of the response that confirmed the phase; MAX_VALUE before. */
   private long answeredMillis = Long.MAX_VALUE;
 
-  /** Percentage of completed work in the last report; -1 before the first report. */
+  /** Percentage of completed work in the last report, up to 100; -1 before the first report. */
   private int percent = -1;
 
-  /** Worker's clock in the first report with this percentage, in milliseconds. */
+  /** Checkpoint in the last report; empty before the first one. */
+  private String checkpoint = "";
+
+  /** Worker's clock in the first report with this percentage and checkpoint, in milliseconds. */
   private long progressClockMillis;
 
-  /** Whether the percentage differed between two reports. */
+  /** Worker's clock in the last report, in milliseconds. */
+  private long reportClockMillis;
+
+  /** Monotonic time in milliseconds since which the run works; the latest with nothing done. */
+  private long workingSinceMillis;
+
+  /** Whether this leader started the run without a checkpoint, so that its length is known. */
+  private boolean measured;
+
+  /** Whether it was logged that the run lasts longer than declared. */
+  private boolean overdue;
+
+  /** Whether the percentage or the checkpoint differed between two reports. */
   private boolean progressed;
 
   /** Creates a run in {@code phase}. */
@@ -80,6 +97,7 @@
 
   void markRunning(long nowMillis) {
     phase = Phase.RUNNING;
+    workingSinceMillis = nowMillis;
     answeredMillis = nowMillis;
   }
 
@@ -98,19 +116,54 @@
   }
 
   /**
-   * Updates the percentage of completed work; returns for how long it hasn't changed.
+   * Updates the percentage of completed work and the checkpoint; returns for how long neither has
+   * changed.
    *
-   * @param newPercent percentage in a report
+   * @param reported entry of the run in a report
    * @param clockMillis worker's clock in that report, so that a late report doesn't look like a
    *     stalled run
+   * @param nowMillis monotonic time of that report
    */
-  long updateProgress(int newPercent, long clockMillis) {
-    if (newPercent != percent) {
+  long updateProgress(CurrentRun reported, long clockMillis, long nowMillis) {
+    if (reported.percent() != percent || !reported.checkpoint().equals(checkpoint)) {
       progressed = percent >= 0;
-      percent = newPercent;
+      percent = reported.percent();
+      checkpoint = reported.checkpoint();
       progressClockMillis = clockMillis;
     }
-    return clockMillis - progressClockMillis;
+    if (percent <= 0) {
+      workingSinceMillis = nowMillis;
+    }
+    reportClockMillis = clockMillis;
+    return stillMillis();
+  }
+
+  /** Returns the time between the last progress and the last report, in milliseconds. */
+  long stillMillis() {
+    return reportClockMillis - progressClockMillis;
+  }
+
+  int percent() {
+    return percent;
+  }
+
+  /** Records that this leader starts the run from nothing. */
+  void markMeasured() {
+    measured = true;
+  }
+
+  /** Returns the time for which the run has worked, or empty if its start isn't known. */
+  OptionalLong workedMillis(long nowMillis) {
+    return measured && phase == Phase.RUNNING
+        ? OptionalLong.of(nowMillis - workingSinceMillis)
+        : OptionalLong.empty();
+  }
+
+  /** Records that the run lasts longer than declared; returns whether that is new. */
+  boolean markOverdue() {
+    boolean first = !overdue;
+    overdue = true;
+    return first;
   }
 
   boolean hasProgressed() {
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -87,6 +87,9 @@
   /** Stops runs of gangs that lack a member. */
   private final GangSupervisor gangs;
 
+  /** Tells stalled runs from long ones. */
+  private final StallSupervisor stalls;
+
   /** Places waiting tasks on workers and starts them. */
   private final Dispatcher dispatcher;
 
@@ -143,6 +146,7 @@
     endedJobs = new EndedJobsCleanup(jobs, recorder, term.statusMillis());
     advice = new AdviceScheduler(adviser, timer, this::scheduleDispatch);
     gangs = new GangSupervisor(jobs, timer, term.metrics(), term.gangWaitMillis(), this::stopRun);
+    stalls = new StallSupervisor(jobs, workers, term.metrics(), timer);
     dispatcher =
         new Dispatcher(jobs, workers, queues::policy, this::areRunsKnown, advice, gangs, timer);
     intake =
@@ -644,13 +648,19 @@
       workerRecords.add(worker.id(), worker.entry().incarnation());
     }
 
+    @Override
+    public boolean isStalled(WorkerSession worker, TaskRun run) {
+      return stalls.isStalled(worker, run);
+    }
+
     @Override
     public void checkpointSaved(TaskName task, String checkpoint) {
       jobs.task(task).ifPresent(known -> known.updateCheckpoint(checkpoint));
     }
 
     @Override
-    public void ended(WorkerSession worker, EndedRun end) {
+    public void ended(WorkerSession worker, EndedRun end, Optional<TaskRun> run) {
+      run.filter(known -> end.cause() == WorkerClient.EndCause.DONE).ifPresent(stalls::completed);
       WorkCell.this.runEnded(worker, end);
     }
 
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -65,9 +65,6 @@
   /** Pause of new starts after a worker was unhealthy or unreachable. */
   private static final long UNHEALTHY_PAUSE_MILLIS = 1_000;
 
-  /** Number of consecutive failed runs after which new starts are paused. */
-  private static final int MAX_CONSECUTIVE_FAILURES = 3;
-
   /** Pause of new starts after consecutive failures or a stalled run. */
   private static final long FAILURE_PAUSE_MILLIS = 4_000;
 
@@ -119,12 +116,12 @@
   /** Number of consecutive report requests without a response. */
   private int missedReports;
 
-  /** Number of consecutive failed runs. */
-  private int consecutiveFailures;
-
   /** Monotonic time until which no run is started, in milliseconds. */
   private long pausedUntilMillis;
 
+  /** Failures and progress of the runs on the worker. */
+  private final WorkerHistory history = new WorkerHistory();
+
   /** Whether the worker is in the directory. */
   private boolean listed = true;
 
@@ -199,8 +196,11 @@
     /** Called with the latest checkpoint of a run, empty for none. */
     void checkpointSaved(TaskName task, String checkpoint);
 
-    /** Called once for each reported end of a run. */
-    void ended(WorkerSession worker, EndedRun end);
+    /** Returns whether a run without progress for its stall timeout is to be stopped. */
+    boolean isStalled(WorkerSession worker, TaskRun run);
+
+    /** Called once for each reported end of a run, with the run unless it is unknown. */
+    void ended(WorkerSession worker, EndedRun end, Optional<TaskRun> run);
 
     /** Called when a run is gone without a reported end. */
     void lost(WorkerSession worker, TaskRun run);
@@ -304,10 +304,22 @@
     listed = false;
   }
 
+  boolean standsStill() {
+    return history.standsStill();
+  }
+
+  /** Returns the run of {@code task} if it uses capacity of this worker. */
+  Optional<TaskRun> findRun(TaskName task, int number) {
+    return Optional.ofNullable(runs.get(new TaskRun.Key(task, number)));
+  }
+
   /** Starts a run on the worker and reserves its capacity. */
   void start(TaskRun run, String payload, String checkpoint, Optional<String> ticket) {
     runs.put(run.key(), run);
     used = used.plus(run.demand());
+    if (checkpoint.isEmpty()) {
+      run.markMeasured();
+    }
     long end = leaseTarget();
     leaseEndMillis = Math.max(leaseEndMillis, end);
     StartCommand command =
@@ -340,11 +352,9 @@
 
   /** Counts a failed or completed run, to pause workers on which every run fails. */
   void countRunResult(boolean failed) {
-    consecutiveFailures = failed ? consecutiveFailures + 1 : 0;
-    if (consecutiveFailures >= MAX_CONSECUTIVE_FAILURES) {
+    if (history.countResult(failed, clockMillis)) {
       pause(FAILURE_PAUSE_MILLIS);
-      LOG.atInfo().log(
-          "workers: paused after failures worker=%s failures_in_row=%d", id(), consecutiveFailures);
+      LOG.atInfo().log("workers: paused after failures worker=%s", id());
     }
   }
 
@@ -579,7 +589,7 @@
         if (run != null) {
           remove(run);
         }
-        callbacks.ended(this, end);
+        callbacks.ended(this, end, Optional.ofNullable(run));
       }
     }
     long last = processedEnd;
@@ -604,7 +614,7 @@
         run.markRunning(timer.monotonicMillis());
         callbacks.started(this, run);
       } else if (run.phase() == TaskRun.Phase.RUNNING) {
-        checkProgress(run, each.percent());
+        checkProgress(run, each);
       }
       callbacks.checkpointSaved(each.task(), each.checkpoint());
     }
@@ -623,16 +633,14 @@
   }
 
   /** Stops a stalled run, so that it restarts elsewhere, and pauses new starts on this worker. */
-  private void checkProgress(TaskRun run, int percent) {
+  private void checkProgress(TaskRun run, CurrentRun reported) {
     boolean progressedBefore = run.hasProgressed();
-    long stalled = run.updateProgress(percent, clockMillis);
+    long still = run.updateProgress(reported, clockMillis, timer.monotonicMillis());
     if (run.hasProgressed() && !progressedBefore) {
       callbacks.progressed(run);
     }
-    if (stalled > run.stallTimeoutMillis()) {
-      LOG.atInfo().log(
-          "workers: stalled worker=%s task=%s run=%d percent=%d stalled_ms=%d",
-          id(), run.task(), run.number(), percent, stalled);
+    history.update(run, clockMillis);
+    if (still > run.stallTimeoutMillis() && callbacks.isStalled(this, run)) {
       pause(FAILURE_PAUSE_MILLIS);
       stop(run.task(), run.number());
     }
@@ -666,6 +674,7 @@
     leaseEndMillis = 0;
     reportedMillis = -1;
     clockMillis = 0;
+    history.resetClock();
   }
 
   private void dropAllRuns() {
--- a/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
@@ -55,6 +55,8 @@
   private final Set<String> unlisted = new HashSet<>();
   private final List<String> violations = new ArrayList<>();
   private final List<TaskName> aloneEnds = new ArrayList<>();
+  private final Map<TaskName, Double> lengthFactors = new HashMap<>();
+  private boolean slowestMemberCounts;
   private int starts;
   private int renewals;
   private int maxAttempts = Integer.MAX_VALUE;
@@ -83,8 +85,9 @@
       this.startedMillis = startedMillis;
     }
 
+    /** Percentage of the declared run time, which a longer run has used up before its end. */
     int percent() {
-      return (int) (100 * workedMillis / Math.max(1, step.estimateMillis()));
+      return (int) Math.min(100, 100 * workedMillis / Math.max(1, step.estimateMillis()));
     }
   }
 
@@ -105,6 +108,7 @@
     private boolean startAnswersLost;
     private int startsToDelay;
     private boolean hanging;
+    private double speed = 1;
     private Duration reportDelay = Duration.ZERO;
     private int startsToRefuse;
     private WorkerClient.Refusal refusal = WorkerClient.Refusal.UNHEALTHY;
@@ -182,6 +186,21 @@
     workers.get(id).hanging = hanging;
   }
 
+  /** Makes each run of a task last a multiple of its declared run time. */
+  void lengthen(TaskName task, double factor) {
+    lengthFactors.put(task, factor);
+  }
+
+  /** Makes gangs end with their slowest member instead of the first one. */
+  void keepMembersTogether() {
+    slowestMemberCounts = true;
+  }
+
+  /** Sets how fast runs on a worker proceed; at 1 they last as long as declared. */
+  void speed(String id, double speed) {
+    workers.get(id).speed = speed;
+  }
+
   /** Delivers the reports of a worker later than it made them. */
   void delayReports(String id, Duration delay) {
     workers.get(id).reportDelay = delay;
@@ -319,13 +338,23 @@
       }
       return;
     }
-    run.workedMillis += worker.hanging ? 0 : 20;
-    if (run.workedMillis >= run.step.estimateMillis()) {
+    run.workedMillis += worker.hanging ? 0 : (long) (20 * worker.speed);
+    if (run.workedMillis >= lengthMillis(run) && !waitsForMembers(run)) {
       boolean failed = random.nextDouble() < failureShare;
       end(worker, run, failed ? WorkerClient.EndCause.FAILED : WorkerClient.EndCause.DONE);
     }
   }
 
+  private boolean waitsForMembers(Run run) {
+    return slowestMemberCounts
+        && run.step.gang()
+        && members(run).stream().anyMatch(member -> member.workedMillis < lengthMillis(member));
+  }
+
+  private long lengthMillis(Run run) {
+    return (long) (run.step.estimateMillis() * lengthFactors.getOrDefault(run.task, 1.0));
+  }
+
   private List<Run> members(Run of) {
     return workers.values().stream()
         .flatMap(worker -> worker.runs.values().stream())
