Stop to serve keys when the configuration is too old

Under strict revocation nothing may run on a key later than revoke_ms after the version that took it away, on machines in touch or not. A host that was cut off from the store, refused by it or suspended served revoked keys for as long as that lasted.

--- a/state/src/main/java/org/vanillacove/state/tenancy/AccessPolicy.java
+++ b/state/src/main/java/org/vanillacove/state/tenancy/AccessPolicy.java
@@ -24,6 +24,9 @@
      * @param reason why the key is not valid
      */
     record Unauthorized(Reason reason) implements Access {}
+
+    /** This host can't decide: its configuration may have been replaced since it was read. */
+    record Unconfirmed() implements Access {}
   }
 
   /** Why a call is refused. */
@@ -40,12 +43,16 @@
    * @param open whether the queue needs no key
    * @param key digest of the key, empty if the call carries none
    * @param organisations organisations of the configuration in force
+   * @param confirmed whether the configuration was read recently enough
    */
   public static Access decide(
-      boolean open, Optional<KeyDigest> key, OrganisationTable organisations) {
+      boolean open, Optional<KeyDigest> key, OrganisationTable organisations, boolean confirmed) {
     if (open) {
       return new Access.Granted(Optional.empty());
     }
+    if (!confirmed) {
+      return new Access.Unconfirmed();
+    }
     if (key.isEmpty()) {
       return new Access.Unauthorized(Reason.MISSING_KEY);
     }
