Hide jobs from other organisations

With any valid key a caller could see, cancel and repeat the jobs of every organisation. A job belongs to the organisation whose key submitted it, past its end and over changes of leader: the record of the end and the bundle of ended jobs name it. Jobs without an organisation are shown to all, as before.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/EndedJobs.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/EndedJobs.java
@@ -23,6 +23,9 @@
   /** Outcomes by job identifier, of unbundled and bundled jobs. */
   private final Map<String, TrackedJob.Stage> outcomes = new HashMap<>();
 
+  /** Organisations by job identifier, of those jobs that have one. */
+  private final Map<String, String> organisations = new HashMap<>();
+
   /** Jobs with a record of their own, in the order of their ends. */
   private final Deque<Ended> unbundled = new ArrayDeque<>();
 
@@ -34,9 +37,15 @@
    *
    * @param id identifier of the job
    * @param outcome final stage of the job
+   * @param organisation organisation that submitted the job, empty if it has none
    * @param endMillis monotonic time at which this host learnt of the end, in milliseconds
    */
-  record Ended(String id, TrackedJob.Stage outcome, long endMillis) {}
+  record Ended(String id, TrackedJob.Stage outcome, Optional<String> organisation, long endMillis) {
+    /** Creates a job that belongs to no organisation. */
+    Ended(String id, TrackedJob.Stage outcome, long endMillis) {
+      this(id, outcome, Optional.empty(), endMillis);
+    }
+  }
 
   /**
    * Ended jobs that share one record.
@@ -59,15 +68,25 @@
     return Optional.ofNullable(outcomes.get(id));
   }
 
-  /** Adds a job that has a record of its own. */
+  /** Returns the organisation of an ended job, empty if it has none or is not known. */
+  Optional<String> organisation(String id) {
+    return Optional.ofNullable(organisations.get(id));
+  }
+
+  /** Adds a job without an organisation that has a record of its own. */
   void add(String id, TrackedJob.Stage outcome, long nowMillis) {
-    outcomes.put(id, outcome);
-    unbundled.addLast(new Ended(id, outcome, nowMillis));
+    add(new Ended(id, outcome, nowMillis));
+  }
+
+  /** Adds a job that has a record of its own. */
+  void add(Ended job) {
+    remember(job);
+    unbundled.addLast(job);
   }
 
   /** Adds a bundle that was read from the store. */
   void add(Bundle bundle) {
-    bundle.jobs().forEach(job -> outcomes.put(job.id(), job.outcome()));
+    bundle.jobs().forEach(this::remember);
     bundles.addLast(bundle);
   }
 
@@ -92,7 +111,7 @@
     List<Bundle> forgotten = new ArrayList<>();
     while (!bundles.isEmpty() && bundles.getFirst().endMillis() < endMillis) {
       Bundle bundle = bundles.removeFirst();
-      bundle.jobs().forEach(job -> outcomes.remove(job.id()));
+      bundle.jobs().forEach(this::forget);
       forgotten.add(bundle);
     }
     return forgotten;
@@ -103,9 +122,19 @@
     List<Ended> forgotten = new ArrayList<>();
     while (!unbundled.isEmpty() && unbundled.getFirst().endMillis() < endMillis) {
       Ended job = unbundled.removeFirst();
-      outcomes.remove(job.id());
+      forget(job);
       forgotten.add(job);
     }
     return forgotten;
   }
+
+  private void remember(Ended job) {
+    outcomes.put(job.id(), job.outcome());
+    job.organisation().ifPresent(name -> organisations.put(job.id(), name));
+  }
+
+  private void forget(Ended job) {
+    outcomes.remove(job.id());
+    organisations.remove(job.id());
+  }
 }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
@@ -21,6 +21,9 @@
   /** Retry delay for submissions that are rejected for a missing queue or an unavailable store. */
   private static final Duration REJECTION_RETRY_DELAY = Duration.ofSeconds(2);
 
+  /** Reason given to a caller whose identifier is taken; it doesn't tell that the job exists. */
+  private static final String NOT_ACCEPTED = "not accepted";
+
   /** All known jobs. */
   private final JobTable jobs;
 
@@ -65,6 +68,14 @@
 
   /** Submits a job; a repeated submission gets the outcome of the first one. */
   void submit(JobSpec spec, Consumer<SubmitOutcome> done) {
+    if (jobs.isHidden(spec.id(), spec.organisation())) {
+      LOG.atInfo().log(
+          "jobs: reject job=%s queue=%s organisation=%s reason=identifier of another organisation",
+          spec.id(), spec.queue(), spec.organisation().orElse("none"));
+      metrics.rejected(NOT_ACCEPTED);
+      done.accept(new SubmitOutcome.Rejected(NOT_ACCEPTED, REJECTION_RETRY_DELAY));
+      return;
+    }
     Optional<TrackedJob> known = jobs.find(spec.id());
     if (known.isPresent()) {
       if (known.get().stage() == TrackedJob.Stage.ACCEPTING && recorder.isStoreUnavailable()) {
--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobRecords.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobRecords.java
@@ -57,6 +57,9 @@
           .addIds(Long.parseUnsignedLong(job.id(), ID_RADIX))
           .addOutcomes(outcome(job.outcome()));
     }
+    if (bundle.jobs().stream().anyMatch(job -> job.organisation().isPresent())) {
+      bundle.jobs().forEach(job -> message.addOrganisations(job.organisation().orElse("")));
+    }
     return message.build().toByteString();
   }
 
@@ -67,7 +70,12 @@
       List<EndedJobs.Ended> jobs = new ArrayList<>();
       for (int i = 0; i < Math.min(message.getIdsCount(), message.getOutcomesCount()); i++) {
         String id = HexFormat.of().toHexDigits(message.getIds(i));
-        jobs.add(new EndedJobs.Ended(id, stage(message.getOutcomes(i)), nowMillis));
+        // Older records and those without any organisation lack the list.
+        String organisation =
+            i < message.getOrganisationsCount() ? message.getOrganisations(i) : "";
+        jobs.add(
+            new EndedJobs.Ended(
+                id, stage(message.getOutcomes(i)), organisation(organisation), nowMillis));
       }
       return jobs.isEmpty() ? Optional.empty() : Optional.of(new EndedJobs.Bundle(jobs));
     } catch (InvalidProtocolBufferException e) {
@@ -94,6 +102,9 @@
             .filter(task -> task.isDone() || task.lastCountedRun() > 0)
             .forEach(task -> message.addTasks(task(task)));
       }
+    } else {
+      // The record of the acceptance, which also names it, is dropped at the end.
+      job.spec().organisation().ifPresent(message::setOrganisation);
     }
     return message.build().toByteString();
   }
@@ -108,7 +119,7 @@
               message.getQueue(),
               message.getPayload(),
               message.getStepsList().stream().map(JobRecords::parseStep).toList(),
-              Optional.of(message.getOrganisation()).filter(name -> !name.isEmpty())));
+              organisation(message.getOrganisation())));
     } catch (InvalidProtocolBufferException e) {
       return Optional.empty();
     }
@@ -123,6 +134,11 @@
     }
   }
 
+  /** Returns the organisation that a record names, empty if it names none. */
+  static Optional<String> organisation(String recorded) {
+    return Optional.of(recorded).filter(name -> !name.isEmpty());
+  }
+
   /** Returns the numbers of the failed runs of a task. */
   static List<Integer> failedRuns(WorkTaskMessage task) {
     if (task.getFailedRunsCount() >= task.getFailures()) {
--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobTable.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobTable.java
@@ -46,6 +46,18 @@
     return Optional.ofNullable(jobs.get(id));
   }
 
+  /**
+   * Returns whether a job must not be shown to a caller, since it belongs to another organisation.
+   * Jobs without an organisation are shown to all.
+   *
+   * @param caller organisation of the caller, empty if it has none
+   */
+  boolean isHidden(String id, Optional<String> caller) {
+    Optional<String> owner =
+        find(id).map(job -> job.spec().organisation()).orElseGet(() -> ended.organisation(id));
+    return owner.isPresent() && !owner.equals(caller);
+  }
+
   Optional<TrackedTask> task(TaskName name) {
     return find(name.job())
         .filter(job -> name.step() >= 0 && name.step() < job.steps().size())
@@ -96,7 +108,7 @@
   /** Moves {@code job}, whose end is durable, from the open to the ended jobs. */
   void finished(TrackedJob job, long nowMillis) {
     open.remove(job);
-    ended.add(job.id(), job.stage(), nowMillis);
+    ended.add(new EndedJobs.Ended(job.id(), job.stage(), job.spec().organisation(), nowMillis));
   }
 
   /** Removes the steps and tasks of an ended job; its outcome stays. */
@@ -164,7 +176,9 @@
         open.remove(known);
         undroppedJobs.add(id);
       }
-      ended.add(id, stage, nowMillis);
+      ended.add(
+          new EndedJobs.Ended(
+              id, stage, JobRecords.organisation(message.getOrganisation()), nowMillis));
       return;
     }
     for (WorkTaskMessage each : message.getTasksList()) {
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -286,6 +286,14 @@
             .map(TrackedJob::view);
   }
 
+  /**
+   * Returns whether a job belongs to another organisation than the caller's, so that the caller
+   * must not see or cancel it.
+   */
+  public boolean isHidden(String id, Optional<String> caller) {
+    return jobs.isHidden(id, caller);
+  }
+
   /** Cancels a job; {@code done} is called once the cancellation is durable. */
   public void cancel(String id, Consumer<CancelOutcome> done) {
     Optional<TrackedJob> found = jobs.find(id);
