Keep what an organisation has running under its cap

Change: OrganisationUsage counts what each organisation has running, over exactly the time for which a run reserves capacity in a session: from the start command to the listed end, a proven refusal, a stop that it cannot have outlived, or the certain end of the lease. A found run of an unknown job and the capacity of the workers that have not reported to a new leader count against every cap. A task or gang that exceeds its cap even alone is rejected with 503, field and limit, and a Retry-After of ten minutes: the protocol names 429 and 503 for a job that never runs, and a raised cap lets it in later.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
@@ -58,6 +58,9 @@
   /** Stops runs of gangs that lack a member. */
   private final GangSupervisor gangs;
 
+  /** What organisations have running, and their caps. */
+  private final OrganisationUsage usage;
+
   /** Clock for ticket expiry and service order. */
   private final TimerService timer;
 
@@ -69,6 +72,7 @@
       Predicate<TrackedJob> runsKnown,
       AdviceScheduler advice,
       GangSupervisor gangs,
+      OrganisationUsage usage,
       TimerService timer) {
     this.jobs = jobs;
     this.workers = workers;
@@ -76,6 +80,7 @@
     this.runsKnown = runsKnown;
     this.advice = advice;
     this.gangs = gangs;
+    this.usage = usage;
     this.timer = timer;
   }
 
@@ -100,9 +105,14 @@
     UsableWorkers usable = new UsableWorkers(workers.values(), now);
     Set<String> reserved = new HashSet<>();
     int reservingGangs = 0;
+    GangClaims claims = new GangClaims(usage);
     for (Candidate candidate : candidates) {
+      if (claims.startable(candidate.job(), candidate.step()) == 0) {
+        claims.add(candidate.job().spec(), candidate.step().spec());
+        continue;
+      }
       boolean mayUseReserved = candidate.policy().priority() == 0 || candidate.step().spec().gang();
-      startWaiting(candidate, usable, mayUseReserved ? Set.of() : reserved, now);
+      startWaiting(candidate, claims, usable, mayUseReserved ? Set.of() : reserved, now);
       boolean gang = candidate.step().spec().gang();
       if (gang && reservingGangs < MAX_RESERVING_GANGS && candidate.step().hasWaiting()) {
         List<WorkerSession> allowed = allowedWorkers(candidate, usable, Set.of());
@@ -152,25 +162,35 @@
   }
 
   private void startWaiting(
-      Candidate candidate, UsableWorkers usable, Set<String> reserved, long now) {
+      Candidate candidate,
+      GangClaims claims,
+      UsableWorkers usable,
+      Set<String> reserved,
+      long now) {
     TrackedStep step = candidate.step();
     List<WorkerSession> allowed = allowedWorkers(candidate, usable, reserved);
     if (candidate.policy().advice().isEmpty()) {
-      place(candidate, allowed);
+      place(candidate, claims, allowed);
       return;
     }
     place(
         candidate,
+        claims,
         allowed.stream().filter(each -> step.advice().hasTicket(each.id(), now)).toList());
     if (!step.advice().isPending() && step.hasWaiting()) {
-      renewAdvice(candidate, allowed, usable);
+      renewAdvice(candidate, claims, allowed, usable);
     }
   }
 
-  private void renewAdvice(Candidate candidate, List<WorkerSession> allowed, UsableWorkers usable) {
+  private void renewAdvice(
+      Candidate candidate, GangClaims claims, List<WorkerSession> allowed, UsableWorkers usable) {
     TrackedStep step = candidate.step();
+    int startable = claims.startable(candidate.job(), step);
+    if (startable == 0) {
+      return;
+    }
     List<String> placed =
-        PlacementPolicy.place(step.spec(), step.waiting().size(), capacities(candidate, allowed));
+        PlacementPolicy.place(step.spec(), startable, capacities(candidate, allowed));
     if (!placed.isEmpty()) {
       advice.ask(candidate.job(), step, candidate.policy(), placed.stream().distinct().toList());
     } else {
@@ -223,11 +243,12 @@
     return capacities;
   }
 
-  private void place(Candidate candidate, List<WorkerSession> sessions) {
+  private void place(Candidate candidate, GangClaims claims, List<WorkerSession> sessions) {
     TrackedStep step = candidate.step();
     List<TrackedTask> waiting = step.waiting();
+    int startable = claims.startable(candidate.job(), step);
     List<String> chosen =
-        PlacementPolicy.place(step.spec(), waiting.size(), capacities(candidate, sessions));
+        PlacementPolicy.place(step.spec(), startable, capacities(candidate, sessions));
     int gangRun = step.nextGangRun();
     String gangCheckpoint = step.gangCheckpoint();
     if (step.spec().gang() && !chosen.isEmpty()) {
--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
@@ -9,6 +9,7 @@
 import org.vanillacove.coordination.work.api.SubmitOutcome;
 import org.vanillacove.protocol.timer.TimerService;
 import org.vanillacove.state.api.Resources;
+import org.vanillacove.state.tenancy.CapPolicy;
 import org.vanillacove.state.work.AdmissionPolicy;
 import org.vanillacove.state.work.JobSpec;
 import org.vanillacove.state.work.QueuePolicy;
@@ -21,6 +22,9 @@
   /** Retry delay for submissions that are rejected for a missing queue or an unavailable store. */
   private static final Duration REJECTION_RETRY_DELAY = Duration.ofSeconds(2);
 
+  /** Retry delay of a job that doesn't fit the cap of its organisation; caps seldom change. */
+  private static final Duration CAP_RETRY_DELAY = Duration.ofMinutes(10);
+
   /** All known jobs. */
   private final JobTable jobs;
 
@@ -30,6 +34,9 @@
   /** Policies of the queues; only configured ones accept jobs. */
   private final QueueTable queues;
 
+  /** What organisations have running, and their caps. */
+  private final OrganisationUsage usage;
+
   /** Writes the records of accepted jobs. */
   private final JobRecorder recorder;
 
@@ -50,6 +57,7 @@
       JobTable jobs,
       Map<String, WorkerSession> workers,
       QueueTable queues,
+      OrganisationUsage usage,
       JobRecorder recorder,
       CellMetrics metrics,
       TimerService timer,
@@ -57,6 +65,7 @@
     this.jobs = jobs;
     this.workers = workers;
     this.queues = queues;
+    this.usage = usage;
     this.recorder = recorder;
     this.metrics = metrics;
     this.timer = timer;
@@ -83,10 +92,11 @@
     Optional<SubmitOutcome.Rejected> rejection = rejection(spec);
     if (rejection.isPresent()) {
       LOG.atInfo().log(
-          "jobs: reject job=%s queue=%s reason=%s retry_ms=%d",
+          "jobs: reject job=%s queue=%s reason=%s detail=%s retry_ms=%d",
           spec.id(),
           spec.queue(),
           rejection.get().reason(),
+          rejection.get().detail(),
           rejection.get().retryAfter().toMillis());
       metrics.rejected(rejection.get().reason());
       done.accept(rejection.get());
@@ -108,10 +118,26 @@
     if (recorder.isStoreUnavailable()) {
       return Optional.of(new SubmitOutcome.Rejected("store away", REJECTION_RETRY_DELAY));
     }
+    Optional<CapPolicy.Excess> excess = usage.excess(spec);
+    if (excess.isPresent()) {
+      return Optional.of(exceedsCap(excess.get()));
+    }
     return AdmissionPolicy.rejection(admissionView(spec, policy.get()))
         .map(retry -> new SubmitOutcome.Rejected("backlog", retry));
   }
 
+  private static SubmitOutcome.Rejected exceedsCap(CapPolicy.Excess excess) {
+    String detail =
+        String.format(
+            Locale.ROOT,
+            "%d tasks of %d each at a limit of %d",
+            excess.tasks(),
+            excess.demand(),
+            excess.limit());
+    return new SubmitOutcome.Rejected(
+        "exceeds cap of " + excess.component(), detail, CAP_RETRY_DELAY);
+  }
+
   private AdmissionPolicy.View admissionView(JobSpec spec, QueuePolicy policy) {
     double cores = 0;
     Resources largest = Resources.NONE;
--- /dev/null
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/OrganisationUsage.java
@@ -0,0 +1,146 @@
+package org.vanillacove.coordination.work;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.vanillacove.state.api.Resources;
+import org.vanillacove.state.tenancy.CapPolicy;
+import org.vanillacove.state.tenancy.Organisation;
+import org.vanillacove.state.tenancy.OrganisationTable;
+import org.vanillacove.state.work.JobSpec;
+import org.vanillacove.state.work.StepSpec;
+
+/**
+ * What each organisation may have running on all workers, and the caps on it. A run counts for as
+ * long as it reserves capacity in a session. A run of a job that isn't known any more counts
+ * against every cap, and so does the capacity of the workers of which the runs aren't known.
+ */
+final class OrganisationUsage implements Reservations {
+  /** Finds a job that is known to this leader. */
+  private final Function<String, Optional<TrackedJob>> jobs;
+
+  /** Total capacity of the workers that may hold unknown runs; empty if it has no known bound. */
+  private final Supplier<Optional<Resources>> unknownRuns;
+
+  /**
+   * Caps by organisation. One that left the configuration keeps its last cap, since its runs and
+   * accepted jobs remain.
+   */
+  private final Map<String, Resources> caps = new HashMap<>();
+
+  /** Owner of each run that reserves capacity. */
+  private final Map<TaskRun, Owner> owners = new HashMap<>();
+
+  /** Demand of these runs by organisation, without those of unknown jobs. */
+  private final Map<String, Resources> use = new HashMap<>();
+
+  /** Demand of the runs of unknown jobs. */
+  private Resources unowned = Resources.NONE;
+
+  /**
+   * Creates a table without runs and caps.
+   *
+   * @param jobs finds a job that is known to this leader
+   * @param unknownRuns returns the total capacity of the workers that may hold unknown runs, empty
+   *     if it has no known bound
+   */
+  OrganisationUsage(
+      Function<String, Optional<TrackedJob>> jobs, Supplier<Optional<Resources>> unknownRuns) {
+    this.jobs = jobs;
+    this.unknownRuns = unknownRuns;
+  }
+
+  /**
+   * Owner of a run.
+   *
+   * @param jobKnown whether the job of the run is known
+   * @param organisation organisation of that job, empty if it has none
+   */
+  private record Owner(boolean jobKnown, Optional<String> organisation) {}
+
+  /** Takes over the caps of a configuration. */
+  void configure(OrganisationTable organisations) {
+    for (Organisation each : organisations.all()) {
+      caps.put(each.name(), each.cap());
+    }
+  }
+
+  @Override
+  public void reserved(TaskRun run) {
+    Owner owner =
+        jobs.apply(run.task().job())
+            .map(job -> new Owner(true, job.spec().organisation()))
+            .orElse(new Owner(false, Optional.empty()));
+    owners.put(run, owner);
+    if (!owner.jobKnown()) {
+      unowned = unowned.plus(run.demand());
+    }
+    owner.organisation().ifPresent(name -> use.merge(name, run.demand(), Resources::plus));
+  }
+
+  @Override
+  public void released(TaskRun run) {
+    Owner owner = owners.remove(run);
+    if (!owner.jobKnown()) {
+      unowned = unowned.minus(run.demand());
+    }
+    owner
+        .organisation()
+        .ifPresent(
+            name ->
+                use.computeIfPresent(
+                    name,
+                    (key, before) -> {
+                      Resources after = before.minus(run.demand());
+                      return after.equals(Resources.NONE) ? null : after;
+                    }));
+  }
+
+  /** Returns what the known runs of an organisation use. */
+  Resources use(String organisation) {
+    return use.getOrDefault(organisation, Resources.NONE);
+  }
+
+  /** Returns the cap of the job's organisation, empty if there is no limit for it. */
+  Optional<Resources> cap(JobSpec job) {
+    return job.organisation().map(caps::get).filter(cap -> !CapPolicy.isUnlimited(cap));
+  }
+
+  /**
+   * Returns how many of {@code waiting} tasks of a step may start under the cap of the job's
+   * organisation; for a gang all or none.
+   *
+   * @param job job of the step
+   * @param step step whose tasks wait
+   * @param claimed room that waiting gangs of the same organisation need
+   * @param waiting number of tasks that wait
+   */
+  int startable(JobSpec job, StepSpec step, Resources claimed, int waiting) {
+    Optional<Resources> cap = cap(job);
+    if (cap.isEmpty()) {
+      return waiting;
+    }
+    Optional<Resources> unknown = unknownRuns.get().map(unowned::plus);
+    if (unknown.isEmpty()) {
+      return 0;
+    }
+    Resources bound = use(job.organisation().orElseThrow()).plus(unknown.get());
+    int startable = CapPolicy.startable(cap.get(), bound, claimed, step.demand(), waiting);
+    return step.gang() && startable < waiting ? 0 : startable;
+  }
+
+  /** Returns the first step of a job of which a task, or the whole gang, exceeds the cap. */
+  Optional<CapPolicy.Excess> excess(JobSpec job) {
+    return cap(job)
+        .flatMap(
+            cap ->
+                job.steps().stream()
+                    .map(
+                        step ->
+                            CapPolicy.excess(cap, step.demand(), step.gang() ? step.count() : 1))
+                    .flatMap(Optional::stream)
+                    .findFirst());
+  }
+}
--- a/coordination/src/main/java/org/vanillacove/coordination/work/UnreportedWorkers.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/UnreportedWorkers.java
@@ -5,7 +5,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import org.vanillacove.coordination.work.api.WorkerEntry;
+import org.vanillacove.state.api.Resources;
 
 /**
  * Workers that may hold runs of former leaders which the present leader does not know. Inherited
@@ -70,6 +73,23 @@
     return ids.contains(id);
   }
 
+  /**
+   * Returns the total capacity of the workers, an upper bound of what may run on them; empty if the
+   * capacity of one of them isn't known.
+   */
+  Optional<Resources> capacity(Map<String, WorkerEntry> directory) {
+    Resources total = Resources.NONE;
+    for (String id : ids) {
+      WorkerSession session = workers.get(id);
+      WorkerEntry entry = session == null ? directory.get(id) : session.entry();
+      if (entry == null) {
+        return Optional.empty();
+      }
+      total = total.plus(entry.capacity());
+    }
+    return Optional.of(total);
+  }
+
   /** Removes a worker whose lease under the present leader has lapsed. */
   void remove(String id) {
     removeAll(List.of(id));
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -87,6 +87,9 @@
   /** Stops runs of gangs that lack a member. */
   private final GangSupervisor gangs;
 
+  /** What organisations have running, and their caps. */
+  private final OrganisationUsage usage;
+
   /** Places waiting tasks on workers and starts them. */
   private final Dispatcher dispatcher;
 
@@ -143,19 +146,21 @@
     endedJobs = new EndedJobsCleanup(jobs, recorder, term.statusMillis());
     advice = new AdviceScheduler(adviser, timer, this::scheduleDispatch);
     gangs = new GangSupervisor(jobs, timer, term.metrics(), term.gangWaitMillis(), this::stopRun);
-    dispatcher =
-        new Dispatcher(jobs, workers, queues::policy, this::areRunsKnown, advice, gangs, timer);
-    intake =
-        new JobIntake(
-            jobs, workers, queues, recorder, term.metrics(), timer, this::acceptanceChanged);
-    commandsAllowedUntilMillis = timer.monotonicMillis() + COMMAND_PERMISSION_MILLIS;
-    permissionWallMillis = timer.wallMillis();
     unreportedWorkers =
         new UnreportedWorkers(
             workers,
             workerRecords,
             UnreportedWorkers.formerLeasesEndMillis(timer.monotonicMillis(), term.lease()),
             gangs::stopIncompleteRuns);
+    usage = new OrganisationUsage(jobs::find, () -> unreportedWorkers.capacity(directory));
+    dispatcher =
+        new Dispatcher(
+            jobs, workers, queues::policy, this::areRunsKnown, advice, gangs, usage, timer);
+    intake =
+        new JobIntake(
+            jobs, workers, queues, usage, recorder, term.metrics(), timer, this::acceptanceChanged);
+    commandsAllowedUntilMillis = timer.monotonicMillis() + COMMAND_PERMISSION_MILLIS;
+    permissionWallMillis = timer.wallMillis();
     check = timer.every(CHECK_PERIOD, this::check);
   }
 
@@ -203,6 +208,7 @@
    */
   public void configure(Map<String, QueuePolicy> configured, OrganisationTable organisations) {
     queues.configure(configured);
+    usage.configure(organisations);
     queues.recordPolicies(jobs.openQueues());
     failExhaustedJobs();
     updateDirectory(directory);
@@ -354,7 +360,8 @@
       session.updateEntry(entry);
       return;
     }
-    WorkerSession added = new WorkerSession(entry, sessionCallbacks, client, timer, term.lease());
+    WorkerSession added =
+        new WorkerSession(entry, sessionCallbacks, usage, client, timer, term.lease());
     workers.put(entry.id(), added);
     LOG.atInfo().log("workers: added worker=%s rack=%s", entry.id(), entry.rack());
     added.open();
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -74,6 +74,9 @@
   /** Receives the events of this session and decides on runs. */
   private final Callbacks callbacks;
 
+  /** Counts the runs of all sessions. */
+  private final Reservations reservations;
+
   /** Sends commands and renewals to the worker. */
   private final WorkerClient client;
 
@@ -138,11 +141,13 @@
   WorkerSession(
       WorkerEntry entry,
       Callbacks callbacks,
+      Reservations reservations,
       WorkerClient client,
       TimerService timer,
       LeaseTerms lease) {
     this.entry = entry;
     this.callbacks = callbacks;
+    this.reservations = reservations;
     this.client = client;
     this.timer = timer;
     this.lease = lease;
@@ -306,8 +311,7 @@
 
   /** Starts a run on the worker and reserves its capacity. */
   void start(TaskRun run, String payload, String checkpoint, Optional<String> ticket) {
-    runs.put(run.key(), run);
-    used = used.plus(run.demand());
+    add(run);
     long end = leaseTarget();
     leaseEndMillis = Math.max(leaseEndMillis, end);
     StartCommand command =
@@ -648,8 +652,7 @@
             found.stallTimeoutMillis(),
             TaskRun.Phase.RUNNING);
     run.markRunning(timer.monotonicMillis());
-    runs.put(run.key(), run);
-    used = used.plus(run.demand());
+    add(run);
     if (!found.wanted()) {
       stop(run.task(), run.number());
     }
@@ -670,13 +673,19 @@
 
   private void dropAllRuns() {
     List<TaskRun> all = new ArrayList<>(runs.values());
-    runs.clear();
-    used = Resources.NONE;
+    all.forEach(this::remove);
     all.forEach(run -> callbacks.lost(this, run));
   }
 
+  private void add(TaskRun run) {
+    runs.put(run.key(), run);
+    used = used.plus(run.demand());
+    reservations.reserved(run);
+  }
+
   private void remove(TaskRun run) {
     runs.remove(run.key());
     used = used.minus(run.demand());
+    reservations.released(run);
   }
 }
--- a/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -14,6 +15,7 @@
 import org.vanillacove.protocol.timer.TimerService;
 import org.vanillacove.standin.memory.ManualTimerService;
 import org.vanillacove.state.api.Resources;
+import org.vanillacove.state.tenancy.Organisation;
 import org.vanillacove.state.tenancy.OrganisationTable;
 import org.vanillacove.state.work.JobSpec;
 import org.vanillacove.state.work.QueuePolicy;
@@ -112,9 +114,15 @@
   /** Replaces the organisations, for this and all later leaders. */
   void configureOrganisations(OrganisationTable configured) {
     organisations = configured;
+    workers.organisations(configured);
     configure();
   }
 
+  /** Returns an organisation whose runs may use {@code cap}; components of 0 are no limit. */
+  static Organisation organisation(String name, double weight, Resources cap) {
+    return new Organisation(name, Set.of(), weight, cap);
+  }
+
   /** Returns the name of a configured queue, or of one that is not if none is configured. */
   String anyQueue() {
     return queues.isEmpty() ? QUEUE : queues.getFirst().name();
--- a/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -17,13 +18,15 @@
 import org.vanillacove.coordination.work.api.WorkerEntry;
 import org.vanillacove.protocol.timer.TimerService;
 import org.vanillacove.state.api.Resources;
+import org.vanillacove.state.tenancy.Organisation;
+import org.vanillacove.state.tenancy.OrganisationTable;
 import org.vanillacove.state.work.JobSpec;
 import org.vanillacove.state.work.StepSpec;
 
 /**
  * Fake workers that execute every start command and record violations: exceeded capacity, two runs
  * of a task at once, starts after an acknowledged end, before a predecessor, with an unknown job or
- * payload, or beyond the maximum of attempts.
+ * payload, beyond the maximum of attempts, or beyond the cap of an organisation.
  */
 final class FakeWorkers {
   /** Time until the caller receives the response to a command. */
@@ -55,6 +58,7 @@
   private final Set<String> unlisted = new HashSet<>();
   private final List<String> violations = new ArrayList<>();
   private final List<TaskName> aloneEnds = new ArrayList<>();
+  private OrganisationTable organisations = OrganisationTable.NONE;
   private int starts;
   private int renewals;
   private int maxAttempts = Integer.MAX_VALUE;
@@ -126,6 +130,11 @@
     submitted.put(spec.id(), spec);
   }
 
+  /** Records the caps that starts must keep from now on. */
+  void organisations(OrganisationTable configured) {
+    organisations = configured;
+  }
+
   void attempts(int maxRuns, double share) {
     maxAttempts = maxRuns;
     failureShare = share;
@@ -268,6 +277,19 @@
     return workers.get(id).runs.size();
   }
 
+  /** Returns what the runs of an organisation use on all workers. */
+  Resources used(String organisation) {
+    Resources total = Resources.NONE;
+    for (Worker worker : workers.values()) {
+      for (Run run : worker.runs.values()) {
+        if (submitted.get(run.task.job()).organisation().equals(Optional.of(organisation))) {
+          total = total.plus(run.step.demand());
+        }
+      }
+    }
+    return total;
+  }
+
   /** Returns the worker with the most runs. */
   String busiest() {
     return Collections.max(workers.keySet(), Comparator.comparingInt(this::running));
@@ -387,6 +409,7 @@
     if (!used.fitsIn(worker.entry.capacity())) {
       violations.add("capacity of " + worker.entry.id() + " exceeded by " + task + ": " + used);
     }
+    spec.organisation().flatMap(organisations::find).ifPresent(o -> checkCap(o, task, step));
     if (step.maxPerWorker() > 0 && same > step.maxPerWorker()) {
       violations.add("too many tasks of the step of " + task + " on " + worker.entry.id());
     }
@@ -395,6 +418,20 @@
     }
   }
 
+  private void checkCap(Organisation owner, TaskName task, StepSpec step) {
+    Resources total = used(owner.name()).plus(step.demand());
+    Resources cap = owner.cap();
+    if (exceeds(total.cpuMillis(), cap.cpuMillis())
+        || exceeds(total.memoryMib(), cap.memoryMib())
+        || exceeds(total.accelerators(), cap.accelerators())) {
+      violations.add("cap of " + owner.name() + " exceeded by " + task + ": " + total);
+    }
+  }
+
+  private static boolean exceeds(long value, long limit) {
+    return limit > 0 && value > limit;
+  }
+
   private void checkNoSecondRun(TaskName task, int run) {
     if (acknowledgedDone.contains(task)) {
       violations.add("start of " + task + " run " + run + " after its acknowledged end");
--- a/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellFaultTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellFaultTest.java
@@ -14,6 +14,7 @@
 import org.vanillacove.coordination.work.api.SubmitOutcome;
 import org.vanillacove.coordination.work.api.WorkerClient;
 import org.vanillacove.state.api.Resources;
+import org.vanillacove.state.tenancy.OrganisationTable;
 import org.vanillacove.state.work.JobSpec;
 import org.vanillacove.state.work.QueuePolicy;
 import org.vanillacove.state.work.StepSpec;
@@ -44,6 +45,23 @@
     playFaults(fixture, new Random(seed), true);
   }
 
+  // Guards against starts beyond a cap: of a new leader, of a gang, or beside runs cut off.
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20})
+  void capsHoldUnderFaults(long seed) {
+    CellFixture fixture = new CellFixture(seed, seed % 2 == 0);
+    fixture.workers.attempts(3, 0.1);
+    fixture.startLeader();
+    fixture.configureOrganisations(
+        new OrganisationTable(
+            List.of(
+                CellFixture.organisation("o0", 1, new Resources(9_000, 0, 0)),
+                CellFixture.organisation("o1", 2, new Resources(12_000, 6_000, 0)),
+                CellFixture.organisation("o2", 3, Resources.NONE))));
+    playFaults(fixture, new Random(seed), false);
+    assertThat(fixture.workers.starts()).isPositive();
+  }
+
   /** Plays random events, then checks that the invariants held and that all jobs have ended. */
   private static void playFaults(CellFixture fixture, Random random, boolean queuesChange) {
     fixture.workers.attempts(3, 0.1);
@@ -161,7 +179,8 @@
         }
       }
       default -> {
-        JobSpec job = job(random, jobs.size(), fixture.anyQueue());
+        JobSpec job =
+            job(random, jobs.size(), fixture.anyQueue()).ofOrganisation("o" + jobs.size() % 3);
         jobs.add(job);
         fixture.submit(job);
       }
