Serve organisations by their weighted shares

Cause: waiting steps of one class and priority were served by their latest start alone, so the backlog of an organisation that sends ten times its usual work goes before the few jobs of all others. Change: FairShare orders steps of equal class and priority by the dominant use of their organisation for its weight; each start counts at once. All waiting steps are still tried, so no room is idle while one fits, and no run is stopped. Without configured organisations the order is as before.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
@@ -61,6 +61,9 @@
   /** What organisations have running, and their caps. */
   private final OrganisationUsage usage;
 
+  /** Order of the steps of several organisations. */
+  private final FairOrder fairOrder;
+
   /** Clock for ticket expiry and service order. */
   private final TimerService timer;
 
@@ -81,6 +84,7 @@
     this.advice = advice;
     this.gangs = gangs;
     this.usage = usage;
+    fairOrder = new FairOrder(usage);
     this.timer = timer;
   }
 
@@ -106,7 +110,7 @@
     Set<String> reserved = new HashSet<>();
     int reservingGangs = 0;
     GangClaims claims = new GangClaims(usage);
-    for (Candidate candidate : candidates) {
+    for (Candidate candidate : fairOrder.of(candidates, view(now), workers.values(), now)) {
       if (claims.startable(candidate.job(), candidate.step()) == 0) {
         claims.add(candidate.job().spec(), candidate.step().spec());
         continue;
@@ -137,6 +141,13 @@
             });
   }
 
+  private static FairOrder.View<Candidate> view(long now) {
+    return new FairOrder.View<>(
+        candidate -> candidate.job().spec(),
+        Candidate::step,
+        Comparator.comparing(Candidate::waiting, ServiceOrder.urgencyAt(now)));
+  }
+
   private List<Candidate> candidates(long now) {
     List<Candidate> candidates = new ArrayList<>();
     for (TrackedJob job : jobs.open()) {
@@ -275,6 +286,7 @@
           task.name(), number, worker.id(), task.highestRun(), candidate.job().isInherited());
     }
     task.assign(worker.id(), number);
+    fairOrder.started(candidate.job().spec(), timer.monotonicMillis());
     TaskRun run =
         new TaskRun(
             task.name(),
--- a/coordination/src/main/java/org/vanillacove/coordination/work/OrganisationUsage.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/OrganisationUsage.java
@@ -18,6 +18,9 @@
  * against every cap, and so does the capacity of the workers of which the runs aren't known.
  */
 final class OrganisationUsage implements Reservations {
+  /** Name under which the runs of jobs without an organisation count. */
+  private static final String NO_ORGANISATION = "";
+
   /** Finds a job that is known to this leader. */
   private final Function<String, Optional<TrackedJob>> jobs;
 
@@ -30,8 +33,11 @@
    */
   private final Map<String, Resources> caps = new HashMap<>();
 
-  /** Owner of each run that reserves capacity. */
-  private final Map<TaskRun, Owner> owners = new HashMap<>();
+  /** Organisations of the configuration in force. */
+  private OrganisationTable configured = OrganisationTable.NONE;
+
+  /** Organisation of each run that reserves capacity; empty if its job isn't known. */
+  private final Map<TaskRun, Optional<String>> owners = new HashMap<>();
 
   /** Demand of these runs by organisation, without those of unknown jobs. */
   private final Map<String, Resources> use = new HashMap<>();
@@ -52,16 +58,9 @@
     this.unknownRuns = unknownRuns;
   }
 
-  /**
-   * Owner of a run.
-   *
-   * @param jobKnown whether the job of the run is known
-   * @param organisation organisation of that job, empty if it has none
-   */
-  private record Owner(boolean jobKnown, Optional<String> organisation) {}
-
-  /** Takes over the caps of a configuration. */
+  /** Takes over the organisations of a configuration. */
   void configure(OrganisationTable organisations) {
+    configured = organisations;
     for (Organisation each : organisations.all()) {
       caps.put(each.name(), each.cap());
     }
@@ -69,33 +68,38 @@
 
   @Override
   public void reserved(TaskRun run) {
-    Owner owner =
-        jobs.apply(run.task().job())
-            .map(job -> new Owner(true, job.spec().organisation()))
-            .orElse(new Owner(false, Optional.empty()));
+    Optional<String> owner = jobs.apply(run.task().job()).map(job -> nameOf(job.spec()));
     owners.put(run, owner);
-    if (!owner.jobKnown()) {
+    if (owner.isEmpty()) {
       unowned = unowned.plus(run.demand());
+    } else {
+      use.merge(owner.get(), run.demand(), Resources::plus);
     }
-    owner.organisation().ifPresent(name -> use.merge(name, run.demand(), Resources::plus));
   }
 
   @Override
   public void released(TaskRun run) {
-    Owner owner = owners.remove(run);
-    if (!owner.jobKnown()) {
+    Optional<String> owner = owners.remove(run);
+    if (owner.isEmpty()) {
       unowned = unowned.minus(run.demand());
+    } else {
+      use.computeIfPresent(owner.get(), (name, before) -> withoutRun(before, run));
     }
-    owner
-        .organisation()
-        .ifPresent(
-            name ->
-                use.computeIfPresent(
-                    name,
-                    (key, before) -> {
-                      Resources after = before.minus(run.demand());
-                      return after.equals(Resources.NONE) ? null : after;
-                    }));
+  }
+
+  private static Resources withoutRun(Resources before, TaskRun run) {
+    Resources after = before.minus(run.demand());
+    return after.equals(Resources.NONE) ? null : after;
+  }
+
+  /** Returns the name under which the runs of a job count. */
+  static String nameOf(JobSpec job) {
+    return job.organisation().orElse(NO_ORGANISATION);
+  }
+
+  /** Returns the organisations of the configuration in force. */
+  OrganisationTable configured() {
+    return configured;
   }
 
   /** Returns what the known runs of an organisation use. */
--- a/state/src/main/java/org/vanillacove/state/work/ServiceOrder.java
+++ b/state/src/main/java/org/vanillacove/state/work/ServiceOrder.java
@@ -43,8 +43,15 @@
 
   /** Returns the service order at {@code nowMillis}, monotonic time in milliseconds. */
   public static Comparator<WaitingStep> at(long nowMillis) {
+    return urgencyAt(nowMillis).thenComparingLong(WaitingStep::latestStartMillis);
+  }
+
+  /**
+   * Returns the part of the service order that goes before the shares of organisations: steps that
+   * compare as equal are of the same class and priority.
+   */
+  public static Comparator<WaitingStep> urgencyAt(long nowMillis) {
     return Comparator.comparingInt((WaitingStep w) -> w.lateness(nowMillis))
-        .thenComparingInt(WaitingStep::priority)
-        .thenComparingLong(WaitingStep::latestStartMillis);
+        .thenComparingInt(WaitingStep::priority);
   }
 }
