Turn away first what an organisation sends beyond its weight

Cause: the backlog of one organisation made every job late, so those of all others were rejected too. An owed job is judged by its own organisation's work and what the others are served meanwhile by their weights, without the excess of others. A rejected job gives its place in the rate back. Whether an accepted job is excess is not recorded: after a change of leader all count as owed.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/FairOrder.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/FairOrder.java
@@ -72,7 +72,7 @@
     classes.add(overdue);
     classes.addAll(equallyUrgent(steps, new HashSet<>(overdue), view.urgency()));
     Resources capacity = capacity(workers);
-    return new FairShare(capacity, weights())
+    return new FairShare(capacity, usage.weights())
         .order(
             classes,
             new FairShare.View<>(
@@ -105,12 +105,6 @@
     return classes;
   }
 
-  private Map<String, Double> weights() {
-    Map<String, Double> weights = new HashMap<>();
-    usage.configured().all().forEach(each -> weights.put(each.name(), each.weight()));
-    return weights;
-  }
-
   private static Resources capacity(Collection<WorkerSession> workers) {
     Resources total = Resources.NONE;
     for (WorkerSession worker : workers) {
--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -10,6 +11,7 @@
 import org.vanillacove.protocol.timer.TimerService;
 import org.vanillacove.state.api.Resources;
 import org.vanillacove.state.tenancy.CapPolicy;
+import org.vanillacove.state.tenancy.ExcessPolicy;
 import org.vanillacove.state.work.AdmissionPolicy;
 import org.vanillacove.state.work.JobSpec;
 import org.vanillacove.state.work.QueuePolicy;
@@ -37,6 +39,9 @@
   /** What organisations have running, and their caps. */
   private final OrganisationUsage usage;
 
+  /** Rates at which organisations send jobs. */
+  private final OrganisationRates rates;
+
   /** Writes the records of accepted jobs. */
   private final JobRecorder recorder;
 
@@ -66,6 +71,7 @@
     this.workers = workers;
     this.queues = queues;
     this.usage = usage;
+    rates = new OrganisationRates(usage);
     this.recorder = recorder;
     this.metrics = metrics;
     this.timer = timer;
@@ -89,8 +95,12 @@
       done.accept(new SubmitOutcome.Accepted());
       return;
     }
-    Optional<SubmitOutcome.Rejected> rejection = rejection(spec);
+    boolean owed = rates.take(spec, timer.monotonicMillis());
+    Optional<SubmitOutcome.Rejected> rejection = rejection(spec, owed);
     if (rejection.isPresent()) {
+      if (owed) {
+        rates.giveBack(spec);
+      }
       LOG.atInfo().log(
           "jobs: reject job=%s queue=%s reason=%s detail=%s retry_ms=%d",
           spec.id(),
@@ -102,7 +112,7 @@
       done.accept(rejection.get());
       return;
     }
-    accept(spec, done);
+    accept(spec, owed, done);
   }
 
   /** Answers all pending callers at the end of the term. */
@@ -110,7 +120,7 @@
     callers.answerAll(new SubmitOutcome.TermEnded());
   }
 
-  private Optional<SubmitOutcome.Rejected> rejection(JobSpec spec) {
+  private Optional<SubmitOutcome.Rejected> rejection(JobSpec spec, boolean owed) {
     Optional<QueuePolicy> policy = queues.configured(spec.queue());
     if (policy.isEmpty()) {
       return Optional.of(new SubmitOutcome.Rejected("no such queue", REJECTION_RETRY_DELAY));
@@ -122,7 +132,14 @@
     if (excess.isPresent()) {
       return Optional.of(exceedsCap(excess.get()));
     }
-    return AdmissionPolicy.rejection(admissionView(spec, policy.get()))
+    AdmissionPolicy.View view = admissionView(spec, policy.get(), owed);
+    if (!owed) {
+      Optional<Duration> retry = ExcessPolicy.rejection(view, rates.millisToNext(spec));
+      if (retry.isPresent()) {
+        return Optional.of(new SubmitOutcome.Rejected("beyond weight", retry.get()));
+      }
+    }
+    return AdmissionPolicy.rejection(view)
         .map(retry -> new SubmitOutcome.Rejected("backlog", retry));
   }
 
@@ -138,7 +155,7 @@
         "exceeds cap of " + excess.component(), detail, CAP_RETRY_DELAY);
   }
 
-  private AdmissionPolicy.View admissionView(JobSpec spec, QueuePolicy policy) {
+  private AdmissionPolicy.View admissionView(JobSpec spec, QueuePolicy policy, boolean owed) {
     double cores = 0;
     Resources largest = Resources.NONE;
     for (WorkerSession worker : workers.values()) {
@@ -151,26 +168,38 @@
         cores += worker.capacity().cpuMillis() / 1000.0;
       }
     }
-    double backlog = 0;
+    Map<String, Double> backlogs = new HashMap<>();
     for (TrackedJob job : jobs.open()) {
       boolean precedes =
           queues
               .policy(job.spec().queue())
               .filter(other -> other.priority() <= policy.priority())
               .isPresent();
-      if (precedes) {
+      if (precedes && !(owed && isExcessOfOther(job, spec))) {
         // Work that is too large for every worker keeps none of them from other jobs.
-        backlog += job.waitingCoreMillis(largest);
+        backlogs.merge(
+            OrganisationUsage.nameOf(job.spec()),
+            (double) job.waitingCoreMillis(largest),
+            Double::sum);
       }
     }
+    double backlog = usage.precedingWork(backlogs, spec, owed);
     long slack = policy.objectiveMillis(spec) - spec.chainMillis();
     return new AdmissionPolicy.View(cores, backlog, slack);
   }
 
-  private void accept(JobSpec spec, Consumer<SubmitOutcome> done) {
+  /** Returns whether {@code job} is beyond the rate of another organisation than that of spec. */
+  private static boolean isExcessOfOther(TrackedJob job, JobSpec spec) {
+    return job.isExcess() && !job.spec().organisation().equals(spec.organisation());
+  }
+
+  private void accept(JobSpec spec, boolean owed, Consumer<SubmitOutcome> done) {
     long objective = queues.configured(spec.queue()).orElseThrow().objectiveMillis(spec);
     TrackedJob job =
         new TrackedJob(spec, timer.monotonicMillis(), objective, TrackedJob.Stage.ACCEPTING, false);
+    if (!owed) {
+      job.markExcess();
+    }
     jobs.add(job);
     callers.add(spec.id(), done);
     // Before the job, so that no job is durable without a policy.
--- a/coordination/src/main/java/org/vanillacove/coordination/work/OrganisationUsage.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/OrganisationUsage.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.vanillacove.state.api.Resources;
 import org.vanillacove.state.tenancy.CapPolicy;
+import org.vanillacove.state.tenancy.FairShare;
 import org.vanillacove.state.tenancy.Organisation;
 import org.vanillacove.state.tenancy.OrganisationTable;
 import org.vanillacove.state.work.JobSpec;
@@ -107,6 +108,28 @@
     return use.getOrDefault(organisation, Resources.NONE);
   }
 
+  /** Returns the weights of the configured organisations, by name. */
+  Map<String, Double> weights() {
+    Map<String, Double> weights = new HashMap<>();
+    configured.all().forEach(each -> weights.put(each.name(), each.weight()));
+    return weights;
+  }
+
+  /**
+   * Returns how much of the waiting work precedes a job: all of it for a job beyond the rate of its
+   * organisation, since the others go first.
+   *
+   * @param backlogs waiting work by organisation
+   * @param job job that is submitted
+   * @param owed whether it is within the rate of its organisation
+   */
+  double precedingWork(Map<String, Double> backlogs, JobSpec job, boolean owed) {
+    if (!owed || configured.all().isEmpty()) {
+      return backlogs.values().stream().mapToDouble(Double::doubleValue).sum();
+    }
+    return new FairShare(Resources.NONE, weights()).precedingWork(backlogs, nameOf(job));
+  }
+
   /** Returns the cap of the job's organisation, empty if there is no limit for it. */
   Optional<Resources> cap(JobSpec job) {
     return job.organisation().map(caps::get).filter(cap -> !CapPolicy.isUnlimited(cap));
--- a/coordination/src/main/java/org/vanillacove/coordination/work/TrackedJob.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/TrackedJob.java
@@ -31,6 +31,9 @@
   /** Whether any task has started at least once. */
   private boolean started;
 
+  /** Whether its organisation sent it beyond its rate; not recorded, so unset after a takeover. */
+  private boolean excess;
+
   /** Whether a former leader accepted it, so that runs unknown to this leader may exist. */
   private final boolean inherited;
 
@@ -100,6 +103,14 @@
     started = true;
   }
 
+  boolean isExcess() {
+    return excess;
+  }
+
+  void markExcess() {
+    excess = true;
+  }
+
   boolean isInherited() {
     return inherited;
   }
--- a/state/src/main/java/org/vanillacove/state/tenancy/FairShare.java
+++ b/state/src/main/java/org/vanillacove/state/tenancy/FairShare.java
@@ -104,7 +104,30 @@
 
   /** Returns the dominant use of an organisation for its weight. */
   public double weightedUse(String organisation, Resources use) {
-    return dominantUse(use) / weights.getOrDefault(organisation, meanWeight);
+    return dominantUse(use) / weight(organisation);
+  }
+
+  private double weight(String organisation) {
+    return weights.getOrDefault(organisation, meanWeight);
+  }
+
+  /**
+   * Returns how much of the waiting work precedes new work of an organisation, at most: all of it,
+   * or the organisation's own work and what the others are served meanwhile by their weights.
+   *
+   * @param backlogs waiting work by organisation
+   * @param organisation organisation of the new work
+   */
+  public double precedingWork(Map<String, Double> backlogs, String organisation) {
+    double total = 0;
+    double active = weight(organisation);
+    for (Map.Entry<String, Double> each : backlogs.entrySet()) {
+      total += each.getValue();
+      boolean competes = each.getValue() > 0 && !each.getKey().equals(organisation);
+      active += competes ? weight(each.getKey()) : 0;
+    }
+    double own = backlogs.getOrDefault(organisation, 0.0);
+    return Math.min(total, own * active / weight(organisation));
   }
 
   /**
--- a/state/src/test/java/org/vanillacove/state/tenancy/FairShareTest.java
+++ b/state/src/test/java/org/vanillacove/state/tenancy/FairShareTest.java
@@ -140,6 +140,24 @@
     assertThat(policy.weightedUse("c", new Resources(30, 0, 0))).isCloseTo(0.2, within(1e-9));
   }
 
+  @ParameterizedTest
+  @CsvSource({
+    // own work, work of one of weight 1, work of one of weight 2, preceding work
+    "0,100,100,0",
+    "10,100,100,40",
+    "10,100,0,20",
+    "10,0,0,10",
+    "80,100,100,280",
+    "10,1,1,12"
+  })
+  void workOfOthersPrecedesByTheirWeights(
+      double own, double first, double second, double preceding) {
+    FairShare policy =
+        new FairShare(new Resources(CORES, 0, 0), Map.of("own", 1.0, "first", 1.0, "second", 2.0));
+    Map<String, Double> backlogs = Map.of("own", own, "first", first, "second", second);
+    assertThat(policy.precedingWork(backlogs, "own")).isCloseTo(preceding, within(1e-9));
+  }
+
   // Urgency goes before shares, and the items of one organisation keep their order.
   @Test
   void classesAndOrderWithinAnOrganisationAreKept() {
