Show operators what organisations use, wait for and are refused

Cause: nothing told why a job of an organisation waits. Change: the leader publishes use, cap, share, waiting and rejected jobs and the oldest wait of the 20 organisations with the most waiting jobs, and of all others together, once a second; it logs when a cap begins and ceases to hold an organisation back.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/FairOrder.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/FairOrder.java
@@ -105,7 +105,8 @@
     return classes;
   }
 
-  private static Resources capacity(Collection<WorkerSession> workers) {
+  /** Returns the total capacity of the workers that are in the directory. */
+  static Resources capacity(Collection<WorkerSession> workers) {
     Resources total = Resources.NONE;
     for (WorkerSession worker : workers) {
       total = worker.isListed() ? total.plus(worker.capacity()) : total;
--- a/coordination/src/main/java/org/vanillacove/coordination/work/GangClaims.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/GangClaims.java
@@ -29,8 +29,12 @@
     return usage.startable(job.spec(), step.spec(), claimed, step.waitingCount());
   }
 
-  /** Claims room for a gang that its cap holds back, unless it exceeds the cap even alone. */
+  /**
+   * Records that the cap holds a step back. A gang claims room by that, unless it exceeds the cap
+   * even alone.
+   */
   void add(JobSpec job, StepSpec step) {
+    usage.markHeldBack(job);
     boolean fits =
         usage
             .cap(job)
--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
@@ -109,6 +109,7 @@
           rejection.get().detail(),
           rejection.get().retryAfter().toMillis());
       metrics.rejected(rejection.get().reason());
+      usage.countRejected(spec);
       done.accept(rejection.get());
       return;
     }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/OrganisationUsage.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/OrganisationUsage.java
@@ -1,8 +1,10 @@
 package org.vanillacove.coordination.work;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.vanillacove.state.api.Resources;
@@ -43,6 +45,12 @@
   /** Demand of these runs by organisation, without those of unknown jobs. */
   private final Map<String, Resources> use = new HashMap<>();
 
+  /** Organisations of which a task was held back since the last report. */
+  private final Set<String> heldBack = new HashSet<>();
+
+  /** Rejected submissions of this term, by organisation. */
+  private final Map<String, Long> rejected = new HashMap<>();
+
   /** Demand of the runs of unknown jobs. */
   private Resources unowned = Resources.NONE;
 
@@ -130,6 +138,40 @@
     return new FairShare(Resources.NONE, weights()).precedingWork(backlogs, nameOf(job));
   }
 
+  /** Returns the last known cap of an organisation; a component of 0 is no limit. */
+  Resources lastCap(String organisation) {
+    return caps.getOrDefault(organisation, Resources.NONE);
+  }
+
+  /** Returns an upper bound of what runs that count against every cap use; empty if unbounded. */
+  Optional<Resources> unknown() {
+    return unknownRuns.get().map(unowned::plus);
+  }
+
+  /** Records that the cap of the job's organisation holds a task back. */
+  void markHeldBack(JobSpec job) {
+    heldBack.add(nameOf(job));
+  }
+
+  /** Returns the organisations of which a task was held back since the last call. */
+  Set<String> takeHeldBack() {
+    Set<String> taken = Set.copyOf(heldBack);
+    heldBack.clear();
+    return taken;
+  }
+
+  /** Counts a rejected submission of a configured organisation. */
+  void countRejected(JobSpec job) {
+    job.organisation()
+        .filter(name -> configured.find(name).isPresent())
+        .ifPresent(name -> rejected.merge(name, 1L, Long::sum));
+  }
+
+  /** Returns the number of rejected submissions of an organisation in this term. */
+  long rejected(String organisation) {
+    return rejected.getOrDefault(organisation, 0L);
+  }
+
   /** Returns the cap of the job's organisation, empty if there is no limit for it. */
   Optional<Resources> cap(JobSpec job) {
     return job.organisation().map(caps::get).filter(cap -> !CapPolicy.isUnlimited(cap));
@@ -149,7 +191,7 @@
     if (cap.isEmpty()) {
       return waiting;
     }
-    Optional<Resources> unknown = unknownRuns.get().map(unowned::plus);
+    Optional<Resources> unknown = unknown();
     if (unknown.isEmpty()) {
       return 0;
     }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -90,6 +90,9 @@
   /** What organisations have running, and their caps. */
   private final OrganisationUsage usage;
 
+  /** Metrics and log lines on organisations. */
+  private final OrganisationReport organisationReport;
+
   /** Places waiting tasks on workers and starts them. */
   private final Dispatcher dispatcher;
 
@@ -153,6 +156,7 @@
             UnreportedWorkers.formerLeasesEndMillis(timer.monotonicMillis(), term.lease()),
             gangs::stopIncompleteRuns);
     usage = new OrganisationUsage(jobs::find, () -> unreportedWorkers.capacity(directory));
+    organisationReport = new OrganisationReport(jobs, usage, workers, term.metrics());
     dispatcher =
         new Dispatcher(
             jobs, workers, queues::policy, this::areRunsKnown, advice, gangs, usage, timer);
@@ -326,6 +330,7 @@
     check.cancel();
     recorder.close();
     gangs.close();
+    organisationReport.close();
     workers.values().forEach(WorkerSession::close);
     intake.close();
     pendingCancellations.answerAll(CancelOutcome.TERM_ENDED);
@@ -384,6 +389,7 @@
       queues.dropRemovedQueues(jobs.openQueues());
     }
     advice.sendCalls();
+    organisationReport.run(now);
     scheduleDispatch();
   }
 
