Bound what may run on a worker that left the directory by its record

Cause: after a change of leader, a recorded worker that is cut off and not in the directory had no known capacity, so every capped organisation waited until the leases of former leaders had certainly ended. Change: the record of a worker that may hold runs has its capacity beside its incarnation; a record without it is read as before.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/UnreportedWorkers.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/UnreportedWorkers.java
@@ -1,7 +1,7 @@
 package org.vanillacove.coordination.work;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -27,6 +27,9 @@
   /** Identifiers of the workers. */
   private final Set<String> ids = new HashSet<>();
 
+  /** Recorded capacities by worker identifier. */
+  private final Map<String, Resources> capacities = new HashMap<>();
+
   /** Sessions by worker identifier; maintained by the cell. */
   private final Map<String, WorkerSession> workers;
 
@@ -56,9 +59,10 @@
     return nowMillis + MAX_FORMER_LEADER_MILLIS + (long) (lease.maxMillis() / MIN_CLOCK_RATE);
   }
 
-  /** Adds the workers that former leaders recorded. */
-  void load(Collection<String> recorded) {
-    ids.addAll(recorded);
+  /** Adds the workers that former leaders recorded, with their capacity if it was recorded. */
+  void load(Map<String, Optional<Resources>> recorded) {
+    ids.addAll(recorded.keySet());
+    recorded.forEach((id, capacity) -> capacity.ifPresent(known -> capacities.put(id, known)));
   }
 
   boolean isEmpty() {
@@ -82,10 +86,12 @@
     for (String id : ids) {
       WorkerSession session = workers.get(id);
       WorkerEntry entry = session == null ? directory.get(id) : session.entry();
-      if (entry == null) {
+      Resources recorded = capacities.get(id);
+      if (entry == null && recorded == null) {
         return Optional.empty();
       }
-      total = total.plus(entry.capacity());
+      Resources announced = entry == null ? Resources.NONE : entry.capacity();
+      total = total.plus(recorded == null ? announced : announced.max(recorded));
     }
     return Optional.of(total);
   }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -199,7 +199,7 @@
     jobs.undroppedJobs().forEach(this::dropAcceptance);
     failExhaustedJobs();
     workerRecords.load(jobs.recordedWorkers());
-    unreportedWorkers.load(jobs.recordedWorkers());
+    unreportedWorkers.load(WorkerRecords.capacities(records));
     LOG.atInfo().log(
         "jobs: loaded records=%d open=%d workers=%d",
         records.size(), jobs.open().size(), unreportedWorkers.size());
@@ -654,7 +654,7 @@
 
     @Override
     public void unrecordedWorkerReported(WorkerSession worker) {
-      workerRecords.add(worker.id(), worker.entry().incarnation());
+      workerRecords.add(worker.entry());
     }
 
     @Override
--- a/coordination/src/test/java/org/vanillacove/coordination/work/OrganisationCapTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/OrganisationCapTest.java
@@ -114,6 +114,22 @@
     fixture.timer.advance(50);
   }
 
+  // A worker that is cut off and not in the directory may run as much as its record says.
+  @ParameterizedTest
+  @CsvSource({"8000,0", "9000,1", "10000,2", "48000,6"})
+  void recordedCapacityBoundsAWorkerThatLeftTheDirectory(long cap, int started) {
+    CellFixture fixture = fixture(new Resources(cap, 0, 0));
+    fixture.workers.disconnect("w0", true);
+    fixture.workers.list("w0", false);
+    fixture.startLeader();
+    fixture.run(500);
+    fixture.submit(job(FIRST, CellFixture.step(6, 1_000, 3_000, false, List.of())));
+    fixture.run(1_000);
+    assertThat(fixture.workers.starts()).isEqualTo(started);
+    fixture.run(20_000);
+    assertThat(fixture.cell().findJob(FIRST)).contains(JobView.COMPLETED);
+  }
+
   @ParameterizedTest
   @CsvSource({"4000,0,0,2", "0,2500,0,2", "0,0,3,3", "5000,1000,0,1", "0,0,0,12"})
   void eachComponentIsALimit(long cpu, long memory, int accelerators, int running) {
