Compute the bound of unknown runs once a dispatch

Cause: each waiting step of a capped organisation summed the capacity of all workers that have not reported to a new leader. Change: GangClaims takes the bound when a dispatch begins; it cannot change before the dispatch ends. Result: caps, shares, report and fault schedules, 138 cases, pass. The time that it saves was not measured.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/GangClaims.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/GangClaims.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.vanillacove.state.api.Resources;
 import org.vanillacove.state.tenancy.CapPolicy;
 import org.vanillacove.state.work.JobSpec;
@@ -18,15 +19,19 @@
   /** Room that the waiting gangs of an organisation need, by its name. */
   private final Map<String, Resources> claims = new HashMap<>();
 
+  /** Upper bound of what unknown runs use; it doesn't change during a dispatch. */
+  private final Optional<Resources> unknown;
+
   /** Creates an empty set of claims. */
   GangClaims(OrganisationUsage usage) {
     this.usage = usage;
+    unknown = usage.unknown();
   }
 
   /** Returns how many tasks of a step may start now; for a gang all or none. */
   int startable(TrackedJob job, TrackedStep step) {
     Resources claimed = job.spec().organisation().map(claims::get).orElse(Resources.NONE);
-    return usage.startable(job.spec(), step.spec(), claimed, step.waitingCount());
+    return usage.startable(job.spec(), step, claimed, unknown);
   }
 
   /**
--- a/coordination/src/main/java/org/vanillacove/coordination/work/OrganisationUsage.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/OrganisationUsage.java
@@ -13,7 +13,6 @@
 import org.vanillacove.state.tenancy.Organisation;
 import org.vanillacove.state.tenancy.OrganisationTable;
 import org.vanillacove.state.work.JobSpec;
-import org.vanillacove.state.work.StepSpec;
 
 /**
  * What each organisation may have running on all workers, and the caps on it. A run counts for as
@@ -178,26 +177,26 @@
   }
 
   /**
-   * Returns how many of {@code waiting} tasks of a step may start under the cap of the job's
-   * organisation; for a gang all or none.
+   * Returns how many waiting tasks of a step may start under the cap of the job's organisation; for
+   * a gang all or none.
    *
    * @param job job of the step
    * @param step step whose tasks wait
    * @param claimed room that waiting gangs of the same organisation need
-   * @param waiting number of tasks that wait
+   * @param unknown upper bound of what unknown runs use, see {@link #unknown()}
    */
-  int startable(JobSpec job, StepSpec step, Resources claimed, int waiting) {
+  int startable(JobSpec job, TrackedStep step, Resources claimed, Optional<Resources> unknown) {
+    int waiting = step.waitingCount();
     Optional<Resources> cap = cap(job);
     if (cap.isEmpty()) {
       return waiting;
     }
-    Optional<Resources> unknown = unknown();
     if (unknown.isEmpty()) {
       return 0;
     }
-    Resources bound = use(job.organisation().orElseThrow()).plus(unknown.get());
-    int startable = CapPolicy.startable(cap.get(), bound, claimed, step.demand(), waiting);
-    return step.gang() && startable < waiting ? 0 : startable;
+    Resources bound = use(nameOf(job)).plus(unknown.get());
+    int startable = CapPolicy.startable(cap.get(), bound, claimed, step.spec().demand(), waiting);
+    return step.spec().gang() && startable < waiting ? 0 : startable;
   }
 
   /** Returns the first step of a job of which a task, or the whole gang, exceeds the cap. */
