--- a/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
@@ -58,6 +58,12 @@
   /** Stops runs of gangs that lack a member. */
   private final GangSupervisor gangs;
 
+  /** What organisations have running, and their caps. */
+  private final OrganisationUsage usage;
+
+  /** Order of the steps of several organisations. */
+  private final FairOrder fairOrder;
+
   /** Clock for ticket expiry and service order. */
   private final TimerService timer;
 
@@ -69,6 +75,7 @@
       Predicate<TrackedJob> runsKnown,
       AdviceScheduler advice,
       GangSupervisor gangs,
+      OrganisationUsage usage,
       TimerService timer) {
     this.jobs = jobs;
     this.workers = workers;
@@ -76,6 +83,8 @@
     this.runsKnown = runsKnown;
     this.advice = advice;
     this.gangs = gangs;
+    this.usage = usage;
+    fairOrder = new FairOrder(usage);
     this.timer = timer;
   }
 
@@ -100,9 +109,14 @@
     UsableWorkers usable = new UsableWorkers(workers.values(), now);
     Set<String> reserved = new HashSet<>();
     int reservingGangs = 0;
-    for (Candidate candidate : candidates) {
+    GangClaims claims = new GangClaims(usage);
+    for (Candidate candidate : fairOrder.of(candidates, view(now), workers.values(), now)) {
+      if (claims.startable(candidate.job(), candidate.step()) == 0) {
+        claims.add(candidate.job().spec(), candidate.step().spec());
+        continue;
+      }
       boolean mayUseReserved = candidate.policy().priority() == 0 || candidate.step().spec().gang();
-      startWaiting(candidate, usable, mayUseReserved ? Set.of() : reserved, now);
+      startWaiting(candidate, claims, usable, mayUseReserved ? Set.of() : reserved, now);
       boolean gang = candidate.step().spec().gang();
       if (gang && reservingGangs < MAX_RESERVING_GANGS && candidate.step().hasWaiting()) {
         List<WorkerSession> allowed = allowedWorkers(candidate, usable, Set.of());
@@ -127,6 +141,13 @@
             });
   }
 
+  private static FairOrder.View<Candidate> view(long now) {
+    return new FairOrder.View<>(
+        candidate -> candidate.job().spec(),
+        Candidate::step,
+        Comparator.comparing(Candidate::waiting, ServiceOrder.urgencyAt(now)));
+  }
+
   private List<Candidate> candidates(long now) {
     List<Candidate> candidates = new ArrayList<>();
     for (TrackedJob job : jobs.open()) {
@@ -152,25 +173,35 @@
   }
 
   private void startWaiting(
-      Candidate candidate, UsableWorkers usable, Set<String> reserved, long now) {
+      Candidate candidate,
+      GangClaims claims,
+      UsableWorkers usable,
+      Set<String> reserved,
+      long now) {
     TrackedStep step = candidate.step();
     List<WorkerSession> allowed = allowedWorkers(candidate, usable, reserved);
     if (candidate.policy().advice().isEmpty()) {
-      place(candidate, allowed);
+      place(candidate, claims, allowed);
       return;
     }
     place(
         candidate,
+        claims,
         allowed.stream().filter(each -> step.advice().hasTicket(each.id(), now)).toList());
     if (!step.advice().isPending() && step.hasWaiting()) {
-      renewAdvice(candidate, allowed, usable);
+      renewAdvice(candidate, claims, allowed, usable);
     }
   }
 
-  private void renewAdvice(Candidate candidate, List<WorkerSession> allowed, UsableWorkers usable) {
+  private void renewAdvice(
+      Candidate candidate, GangClaims claims, List<WorkerSession> allowed, UsableWorkers usable) {
     TrackedStep step = candidate.step();
+    int startable = claims.startable(candidate.job(), step);
+    if (startable == 0) {
+      return;
+    }
     List<String> placed =
-        PlacementPolicy.place(step.spec(), step.waiting().size(), capacities(candidate, allowed));
+        PlacementPolicy.place(step.spec(), startable, capacities(candidate, allowed));
     if (!placed.isEmpty()) {
       advice.ask(candidate.job(), step, candidate.policy(), placed.stream().distinct().toList());
     } else {
@@ -223,11 +254,12 @@
     return capacities;
   }
 
-  private void place(Candidate candidate, List<WorkerSession> sessions) {
+  private void place(Candidate candidate, GangClaims claims, List<WorkerSession> sessions) {
     TrackedStep step = candidate.step();
     List<TrackedTask> waiting = step.waiting();
+    int startable = claims.startable(candidate.job(), step);
     List<String> chosen =
-        PlacementPolicy.place(step.spec(), waiting.size(), capacities(candidate, sessions));
+        PlacementPolicy.place(step.spec(), startable, capacities(candidate, sessions));
     int gangRun = step.nextGangRun();
     String gangCheckpoint = step.gangCheckpoint();
     if (step.spec().gang() && !chosen.isEmpty()) {
@@ -254,6 +286,7 @@
           task.name(), number, worker.id(), task.highestRun(), candidate.job().isInherited());
     }
     task.assign(worker.id(), number);
+    fairOrder.started(candidate.job().spec(), timer.monotonicMillis());
     TaskRun run =
         new TaskRun(
             task.name(),
--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -9,6 +10,8 @@
 import org.vanillacove.coordination.work.api.SubmitOutcome;
 import org.vanillacove.protocol.timer.TimerService;
 import org.vanillacove.state.api.Resources;
+import org.vanillacove.state.tenancy.CapPolicy;
+import org.vanillacove.state.tenancy.ExcessPolicy;
 import org.vanillacove.state.work.AdmissionPolicy;
 import org.vanillacove.state.work.JobSpec;
 import org.vanillacove.state.work.QueuePolicy;
@@ -24,6 +27,9 @@
   /** Reason given to a caller whose identifier is taken; it doesn't tell that the job exists. */
   private static final String NOT_ACCEPTED = "not accepted";
 
+  /** Retry delay of a job that doesn't fit the cap of its organisation; caps seldom change. */
+  private static final Duration CAP_RETRY_DELAY = Duration.ofMinutes(10);
+
   /** All known jobs. */
   private final JobTable jobs;
 
@@ -33,6 +39,12 @@
   /** Policies of the queues; only configured ones accept jobs. */
   private final QueueTable queues;
 
+  /** What organisations have running, and their caps. */
+  private final OrganisationUsage usage;
+
+  /** Rates at which organisations send jobs. */
+  private final OrganisationRates rates;
+
   /** Writes the records of accepted jobs. */
   private final JobRecorder recorder;
 
@@ -53,6 +65,7 @@
       JobTable jobs,
       Map<String, WorkerSession> workers,
       QueueTable queues,
+      OrganisationUsage usage,
       JobRecorder recorder,
       CellMetrics metrics,
       TimerService timer,
@@ -60,6 +73,8 @@
     this.jobs = jobs;
     this.workers = workers;
     this.queues = queues;
+    this.usage = usage;
+    rates = new OrganisationRates(usage);
     this.recorder = recorder;
     this.metrics = metrics;
     this.timer = timer;
@@ -91,19 +106,25 @@
       done.accept(new SubmitOutcome.Accepted());
       return;
     }
-    Optional<SubmitOutcome.Rejected> rejection = rejection(spec);
+    boolean owed = rates.take(spec, timer.monotonicMillis());
+    Optional<SubmitOutcome.Rejected> rejection = rejection(spec, owed);
     if (rejection.isPresent()) {
+      if (owed) {
+        rates.giveBack(spec);
+      }
       LOG.atInfo().log(
-          "jobs: reject job=%s queue=%s reason=%s retry_ms=%d",
+          "jobs: reject job=%s queue=%s reason=%s detail=%s retry_ms=%d",
           spec.id(),
           spec.queue(),
           rejection.get().reason(),
+          rejection.get().detail(),
           rejection.get().retryAfter().toMillis());
       metrics.rejected(rejection.get().reason());
+      usage.countRejected(spec);
       done.accept(rejection.get());
       return;
     }
-    accept(spec, done);
+    accept(spec, owed, done);
   }
 
   /** Answers all pending callers at the end of the term. */
@@ -111,7 +132,7 @@
     callers.answerAll(new SubmitOutcome.TermEnded());
   }
 
-  private Optional<SubmitOutcome.Rejected> rejection(JobSpec spec) {
+  private Optional<SubmitOutcome.Rejected> rejection(JobSpec spec, boolean owed) {
     Optional<QueuePolicy> policy = queues.configured(spec.queue());
     if (policy.isEmpty()) {
       return Optional.of(new SubmitOutcome.Rejected("no such queue", REJECTION_RETRY_DELAY));
@@ -119,11 +140,34 @@
     if (recorder.isStoreUnavailable()) {
       return Optional.of(new SubmitOutcome.Rejected("store away", REJECTION_RETRY_DELAY));
     }
-    return AdmissionPolicy.rejection(admissionView(spec, policy.get()))
+    Optional<CapPolicy.Excess> excess = usage.excess(spec);
+    if (excess.isPresent()) {
+      return Optional.of(exceedsCap(excess.get()));
+    }
+    AdmissionPolicy.View view = admissionView(spec, policy.get(), owed);
+    if (!owed) {
+      Optional<Duration> retry = ExcessPolicy.rejection(view, rates.millisToNext(spec));
+      if (retry.isPresent()) {
+        return Optional.of(new SubmitOutcome.Rejected("beyond weight", retry.get()));
+      }
+    }
+    return AdmissionPolicy.rejection(view)
         .map(retry -> new SubmitOutcome.Rejected("backlog", retry));
   }
 
-  private AdmissionPolicy.View admissionView(JobSpec spec, QueuePolicy policy) {
+  private static SubmitOutcome.Rejected exceedsCap(CapPolicy.Excess excess) {
+    String detail =
+        String.format(
+            Locale.ROOT,
+            "%d tasks of %d each at a limit of %d",
+            excess.tasks(),
+            excess.demand(),
+            excess.limit());
+    return new SubmitOutcome.Rejected(
+        "exceeds cap of " + excess.component(), detail, CAP_RETRY_DELAY);
+  }
+
+  private AdmissionPolicy.View admissionView(JobSpec spec, QueuePolicy policy, boolean owed) {
     double cores = 0;
     Resources largest = Resources.NONE;
     for (WorkerSession worker : workers.values()) {
@@ -136,26 +180,38 @@
         cores += worker.capacity().cpuMillis() / 1000.0;
       }
     }
-    double backlog = 0;
+    Map<String, Double> backlogs = new HashMap<>();
     for (TrackedJob job : jobs.open()) {
       boolean precedes =
           queues
               .policy(job.spec().queue())
               .filter(other -> other.priority() <= policy.priority())
               .isPresent();
-      if (precedes) {
+      if (precedes && !(owed && isExcessOfOther(job, spec))) {
         // Work that is too large for every worker keeps none of them from other jobs.
-        backlog += job.waitingCoreMillis(largest);
+        backlogs.merge(
+            OrganisationUsage.nameOf(job.spec()),
+            (double) job.waitingCoreMillis(largest),
+            Double::sum);
       }
     }
+    double backlog = usage.precedingWork(backlogs, spec, owed);
     long slack = policy.objectiveMillis(spec) - spec.chainMillis();
     return new AdmissionPolicy.View(cores, backlog, slack);
   }
 
-  private void accept(JobSpec spec, Consumer<SubmitOutcome> done) {
+  /** Returns whether {@code job} is beyond the rate of another organisation than that of spec. */
+  private static boolean isExcessOfOther(TrackedJob job, JobSpec spec) {
+    return job.isExcess() && !job.spec().organisation().equals(spec.organisation());
+  }
+
+  private void accept(JobSpec spec, boolean owed, Consumer<SubmitOutcome> done) {
     long objective = queues.configured(spec.queue()).orElseThrow().objectiveMillis(spec);
     TrackedJob job =
         new TrackedJob(spec, timer.monotonicMillis(), objective, TrackedJob.Stage.ACCEPTING, false);
+    if (!owed) {
+      job.markExcess();
+    }
     jobs.add(job);
     callers.add(spec.id(), done);
     // Before the job, so that no job is durable without a policy.
--- a/coordination/src/main/java/org/vanillacove/coordination/work/UnreportedWorkers.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/UnreportedWorkers.java
@@ -1,11 +1,14 @@
 package org.vanillacove.coordination.work;
 
 import com.google.common.flogger.FluentLogger;
-import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import org.vanillacove.coordination.work.api.WorkerEntry;
+import org.vanillacove.state.api.Resources;
 
 /**
  * Workers that may hold runs of former leaders which the present leader does not know. Inherited
@@ -24,6 +27,9 @@
   /** Identifiers of the workers. */
   private final Set<String> ids = new HashSet<>();
 
+  /** Recorded capacities by worker identifier. */
+  private final Map<String, Resources> capacities = new HashMap<>();
+
   /** Sessions by worker identifier; maintained by the cell. */
   private final Map<String, WorkerSession> workers;
 
@@ -53,9 +59,10 @@
     return nowMillis + MAX_FORMER_LEADER_MILLIS + (long) (lease.maxMillis() / MIN_CLOCK_RATE);
   }
 
-  /** Adds the workers that former leaders recorded. */
-  void load(Collection<String> recorded) {
-    ids.addAll(recorded);
+  /** Adds the workers that former leaders recorded, with their capacity if it was recorded. */
+  void load(Map<String, Optional<Resources>> recorded) {
+    ids.addAll(recorded.keySet());
+    recorded.forEach((id, capacity) -> capacity.ifPresent(known -> capacities.put(id, known)));
   }
 
   boolean isEmpty() {
@@ -70,6 +77,25 @@
     return ids.contains(id);
   }
 
+  /**
+   * Returns the total capacity of the workers, an upper bound of what may run on them; empty if the
+   * capacity of one of them isn't known.
+   */
+  Optional<Resources> capacity(Map<String, WorkerEntry> directory) {
+    Resources total = Resources.NONE;
+    for (String id : ids) {
+      WorkerSession session = workers.get(id);
+      WorkerEntry entry = session == null ? directory.get(id) : session.entry();
+      Resources recorded = capacities.get(id);
+      if (entry == null && recorded == null) {
+        return Optional.empty();
+      }
+      Resources announced = entry == null ? Resources.NONE : entry.capacity();
+      total = total.plus(recorded == null ? announced : announced.max(recorded));
+    }
+    return Optional.of(total);
+  }
+
   /** Removes a worker whose lease under the present leader has lapsed. */
   void remove(String id) {
     removeAll(List.of(id));
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -90,6 +90,12 @@
   /** Tells stalled runs from long ones. */
   private final StallSupervisor stalls;
 
+  /** What organisations have running, and their caps. */
+  private final OrganisationUsage usage;
+
+  /** Metrics and log lines on organisations. */
+  private final OrganisationReport organisationReport;
+
   /** Places waiting tasks on workers and starts them. */
   private final Dispatcher dispatcher;
 
@@ -147,19 +153,22 @@
     advice = new AdviceScheduler(adviser, timer, this::scheduleDispatch);
     gangs = new GangSupervisor(jobs, timer, term.metrics(), term.gangWaitMillis(), this::stopRun);
     stalls = new StallSupervisor(jobs, workers, term.metrics(), timer);
-    dispatcher =
-        new Dispatcher(jobs, workers, queues::policy, this::areRunsKnown, advice, gangs, timer);
-    intake =
-        new JobIntake(
-            jobs, workers, queues, recorder, term.metrics(), timer, this::acceptanceChanged);
-    commandsAllowedUntilMillis = timer.monotonicMillis() + COMMAND_PERMISSION_MILLIS;
-    permissionWallMillis = timer.wallMillis();
     unreportedWorkers =
         new UnreportedWorkers(
             workers,
             workerRecords,
             UnreportedWorkers.formerLeasesEndMillis(timer.monotonicMillis(), term.lease()),
             gangs::stopIncompleteRuns);
+    usage = new OrganisationUsage(jobs::find, () -> unreportedWorkers.capacity(directory));
+    organisationReport = new OrganisationReport(jobs, usage, workers, term.metrics());
+    dispatcher =
+        new Dispatcher(
+            jobs, workers, queues::policy, this::areRunsKnown, advice, gangs, usage, timer);
+    intake =
+        new JobIntake(
+            jobs, workers, queues, usage, recorder, term.metrics(), timer, this::acceptanceChanged);
+    commandsAllowedUntilMillis = timer.monotonicMillis() + COMMAND_PERMISSION_MILLIS;
+    permissionWallMillis = timer.wallMillis();
     check = timer.every(CHECK_PERIOD, this::check);
   }
 
@@ -194,7 +203,7 @@
     jobs.undroppedJobs().forEach(this::dropAcceptance);
     failExhaustedJobs();
     workerRecords.load(jobs.recordedWorkers());
-    unreportedWorkers.load(jobs.recordedWorkers());
+    unreportedWorkers.load(WorkerRecords.capacities(records));
     LOG.atInfo().log(
         "jobs: loaded records=%d open=%d workers=%d",
         records.size(), jobs.open().size(), unreportedWorkers.size());
@@ -207,6 +216,7 @@
    */
   public void configure(Map<String, QueuePolicy> configured, OrganisationTable organisations) {
     queues.configure(configured);
+    usage.configure(organisations);
     queues.recordPolicies(jobs.openQueues());
     failExhaustedJobs();
     updateDirectory(directory);
@@ -342,6 +352,7 @@
     check.cancel();
     recorder.close();
     gangs.close();
+    organisationReport.close();
     workers.values().forEach(WorkerSession::close);
     intake.close();
     pendingCancellations.answerAll(CancelOutcome.TERM_ENDED);
@@ -376,7 +387,8 @@
       session.updateEntry(entry);
       return;
     }
-    WorkerSession added = new WorkerSession(entry, sessionCallbacks, client, timer, term.lease());
+    WorkerSession added =
+        new WorkerSession(entry, sessionCallbacks, usage, client, timer, term.lease());
     workers.put(entry.id(), added);
     LOG.atInfo().log("workers: added worker=%s rack=%s", entry.id(), entry.rack());
     added.open();
@@ -399,6 +411,7 @@
       queues.dropRemovedQueues(jobs.openQueues());
     }
     advice.sendCalls();
+    organisationReport.run(now);
     scheduleDispatch();
   }
 
@@ -663,7 +676,7 @@
 
     @Override
     public void unrecordedWorkerReported(WorkerSession worker) {
-      workerRecords.add(worker.id(), worker.entry().incarnation());
+      workerRecords.add(worker.entry());
     }
 
     @Override
