Let steps wait for a place near their data while that pays

Cause: a step that names a rack for its data, or wants one rack, started elsewhere at once when that rack was full, and took the factor of the settings longer, although a place might be free a moment later.

The factor is read from the settings; without one, and for steps that name no rack, nothing changes.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/CellMetrics.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/CellMetrics.java
@@ -66,6 +66,11 @@
     count("gangs.stopped", name(reason));
   }
 
+  /** Counts an event of a step that waits for a place near its data or its group. */
+  void nearWait(LocalityPlanner.WaitOutcome outcome) {
+    count("near.waits", name(outcome));
+  }
+
   private Timer timer(String name) {
     return Timer.builder(name)
         .publishPercentileHistogram()
--- a/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
@@ -58,6 +58,9 @@
   /** Stops runs of gangs that lack a member. */
   private final GangSupervisor gangs;
 
+  /** Lets steps wait for a place near their data or their group. */
+  private final LocalityPlanner locality;
+
   /** Clock for ticket expiry and service order. */
   private final TimerService timer;
 
@@ -69,6 +72,7 @@
       Predicate<TrackedJob> runsKnown,
       AdviceScheduler advice,
       GangSupervisor gangs,
+      LocalityPlanner locality,
       TimerService timer) {
     this.jobs = jobs;
     this.workers = workers;
@@ -76,6 +80,7 @@
     this.runsKnown = runsKnown;
     this.advice = advice;
     this.gangs = gangs;
+    this.locality = locality;
     this.timer = timer;
   }
 
@@ -223,8 +228,11 @@
     return capacities;
   }
 
-  private void place(Candidate candidate, List<WorkerSession> sessions) {
+  private void place(Candidate candidate, List<WorkerSession> allowed) {
     TrackedStep step = candidate.step();
+    List<WorkerSession> sessions =
+        locality.eligible(
+            candidate.job(), step, candidate.policy(), allowed, timer.monotonicMillis());
     List<TrackedTask> waiting = step.waiting();
     List<String> chosen =
         PlacementPolicy.place(step.spec(), waiting.size(), capacities(candidate, sessions));
--- a/coordination/src/main/java/org/vanillacove/coordination/work/TaskRun.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/TaskRun.java
@@ -113,6 +113,11 @@
     return clockMillis - progressClockMillis;
   }
 
+  /** Returns the share of the work that is done by the last report, 0 before the first one. */
+  double doneShare() {
+    return Math.clamp(percent / 100.0, 0, 1);
+  }
+
   boolean hasProgressed() {
     return progressed;
   }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/TrackedStep.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/TrackedStep.java
@@ -23,6 +23,12 @@
   /** Monotonic time in milliseconds at which only free capacity was missing; negative before. */
   private long readySinceMillis = -1;
 
+  /**
+   * Monotonic time in milliseconds since which the step has waited for a near place; negative while
+   * it does not.
+   */
+  private long nearWaitSinceMillis = -1;
+
   /** Whether all tasks are known to be done. */
   private boolean done;
 
@@ -111,6 +117,25 @@
     gangRun = Optional.of(run);
   }
 
+  /** Returns for how long the step has waited for a near place, in milliseconds. */
+  long nearWaitMillis(long nowMillis) {
+    return nearWaitSinceMillis < 0 ? 0 : nowMillis - nearWaitSinceMillis;
+  }
+
+  /** Notes that the step waits for a near place; returns whether that is new. */
+  boolean markNearWait(long nowMillis) {
+    boolean started = nearWaitSinceMillis < 0;
+    if (started) {
+      nearWaitSinceMillis = nowMillis;
+    }
+    return started;
+  }
+
+  /** Notes that the step starts, near or elsewhere, so that a later wait counts anew. */
+  void endNearWait() {
+    nearWaitSinceMillis = -1;
+  }
+
   long readySinceMillis() {
     return readySinceMillis;
   }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -87,6 +87,9 @@
   /** Stops runs of gangs that lack a member. */
   private final GangSupervisor gangs;
 
+  /** Lets steps wait for a place near their data or their group. */
+  private final LocalityPlanner locality;
+
   /** Places waiting tasks on workers and starts them. */
   private final Dispatcher dispatcher;
 
@@ -143,8 +146,10 @@
     endedJobs = new EndedJobsCleanup(jobs, recorder, term.statusMillis());
     advice = new AdviceScheduler(adviser, timer, this::scheduleDispatch);
     gangs = new GangSupervisor(jobs, timer, term.metrics(), term.gangWaitMillis(), this::stopRun);
+    locality = new LocalityPlanner(jobs, term.metrics());
     dispatcher =
-        new Dispatcher(jobs, workers, queues::policy, this::areRunsKnown, advice, gangs, timer);
+        new Dispatcher(
+            jobs, workers, queues::policy, this::areRunsKnown, advice, gangs, locality, timer);
     intake =
         new JobIntake(
             jobs, workers, queues, recorder, term.metrics(), timer, this::acceptanceChanged);
@@ -197,6 +202,11 @@
     scheduleDispatch();
   }
 
+  /** Sets the factor on the run time of tasks away from their data or their group. */
+  public void setRemoteFactor(double factor) {
+    locality.setRemoteFactor(factor);
+  }
+
   /**
    * Replaces the configured queues and organisations; not called before a configuration has been
    * read.
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -3,6 +3,8 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -286,6 +288,11 @@
     return entry.capacity();
   }
 
+  /** Returns the runs that use capacity of the worker. */
+  Collection<TaskRun> runs() {
+    return Collections.unmodifiableCollection(runs.values());
+  }
+
   /** Updates the directory entry, unless it belongs to an earlier incarnation of the worker. */
   void updateEntry(WorkerEntry newer) {
     boolean restarted = newer.incarnation() > entry.incarnation();
--- a/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
@@ -60,6 +60,9 @@
   private int maxAttempts = Integer.MAX_VALUE;
   private double failureShare;
 
+  /** Factor on the run time of tasks away from the rack of their data. */
+  private int remoteFactor = 1;
+
   FakeWorkers(TimerService timer, long seed, long maxLeaseMillis) {
     this.timer = timer;
     this.maxLeaseMillis = maxLeaseMillis;
@@ -131,6 +134,10 @@
     failureShare = share;
   }
 
+  void slowRemoteTasks(int factor) {
+    remoteFactor = factor;
+  }
+
   Map<String, WorkerEntry> directory() {
     Map<String, WorkerEntry> entries = new HashMap<>();
     workers.forEach((id, worker) -> entries.put(id, worker.entry));
@@ -319,7 +326,9 @@
       }
       return;
     }
-    run.workedMillis += worker.hanging ? 0 : 20;
+    boolean remote =
+        run.step.dataRack().filter(rack -> !rack.equals(worker.entry.rack())).isPresent();
+    run.workedMillis += worker.hanging ? 0 : 20 / (remote ? remoteFactor : 1);
     if (run.workedMillis >= run.step.estimateMillis()) {
       boolean failed = random.nextDouble() < failureShare;
       end(worker, run, failed ? WorkerClient.EndCause.FAILED : WorkerClient.EndCause.DONE);
--- a/state/src/main/java/org/vanillacove/state/work/ServiceOrder.java
+++ b/state/src/main/java/org/vanillacove/state/work/ServiceOrder.java
@@ -36,7 +36,7 @@
     }
 
     /** Returns the latest start time at which the job is still on time. */
-    long latestStartMillis() {
+    public long latestStartMillis() {
       return submittedMillis + objectiveMillis - remainingMillis;
     }
   }
--- a/state/src/main/java/org/vanillacove/state/work/WorkerCapacity.java
+++ b/state/src/main/java/org/vanillacove/state/work/WorkerCapacity.java
@@ -42,6 +42,11 @@
     return new WorkerCapacity(id, rack, labels, capacity, capacity, 0);
   }
 
+  /** Returns this worker with other free resources. */
+  public WorkerCapacity withFree(Resources nowFree) {
+    return new WorkerCapacity(id, rack, labels, capacity, nowFree, tasksOfStep);
+  }
+
   /** Returns the higher utilization of CPU and memory after {@code demand} is added. */
   public double utilizationAfter(Resources demand) {
     double cpu = share(free.cpuMillis() - demand.cpuMillis(), capacity.cpuMillis());
