--- a/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
@@ -64,6 +64,9 @@
   /** Order of the steps of several organisations. */
   private final FairOrder fairOrder;
 
+  /** Lets steps wait for a place near their data or their group. */
+  private final LocalityPlanner locality;
+
   /** Clock for ticket expiry and service order. */
   private final TimerService timer;
 
@@ -76,6 +79,7 @@
       AdviceScheduler advice,
       GangSupervisor gangs,
       OrganisationUsage usage,
+      LocalityPlanner locality,
       TimerService timer) {
     this.jobs = jobs;
     this.workers = workers;
@@ -85,6 +89,7 @@
     this.gangs = gangs;
     this.usage = usage;
     fairOrder = new FairOrder(usage);
+    this.locality = locality;
     this.timer = timer;
   }
 
@@ -254,8 +259,11 @@
     return capacities;
   }
 
-  private void place(Candidate candidate, GangClaims claims, List<WorkerSession> sessions) {
+  private void place(Candidate candidate, GangClaims claims, List<WorkerSession> allowed) {
     TrackedStep step = candidate.step();
+    List<WorkerSession> sessions =
+        locality.eligible(
+            candidate.job(), step, candidate.policy(), allowed, timer.monotonicMillis());
     List<TrackedTask> waiting = step.waiting();
     int startable = claims.startable(candidate.job(), step);
     List<String> chosen =
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -26,7 +26,6 @@
 import org.vanillacove.state.tenancy.OrganisationTable;
 import org.vanillacove.state.work.JobSpec;
 import org.vanillacove.state.work.QueuePolicy;
-import org.vanillacove.state.work.StallPolicy;
 
 /**
  * Schedules the jobs of the cell on the leading host during one term: accepts jobs, starts their
@@ -42,12 +41,6 @@
   /** Period of the maintenance pass, which also detects lapsed leases. */
   private static final Duration CHECK_PERIOD = Duration.ofMillis(250);
 
-  /**
-   * Time for which commands stay allowed without a further check of the leadership: several checks.
-   * A process that was suspended for longer must check before it sends anything.
-   */
-  private static final long COMMAND_PERMISSION_MILLIS = 1_000;
-
   /** Sends commands to workers. */
   private final WorkerClient client;
 
@@ -87,6 +80,9 @@
   /** Stops runs of gangs that lack a member. */
   private final GangSupervisor gangs;
 
+  /** Decides on runs that workers report and this leader did not start. */
+  private final FoundRuns foundRuns;
+
   /** Tells stalled runs from long ones. */
   private final StallSupervisor stalls;
 
@@ -96,6 +92,9 @@
   /** Metrics and log lines on organisations. */
   private final OrganisationReport organisationReport;
 
+  /** Lets steps wait for a place near their data or their group. */
+  private final LocalityPlanner locality;
+
   /** Places waiting tasks on workers and starts them. */
   private final Dispatcher dispatcher;
 
@@ -114,20 +113,8 @@
   /** Whether a dispatch is already scheduled. */
   private boolean dispatchDue;
 
-  /**
-   * Monotonic time in milliseconds until which commands may be sent, as the last check of the
-   * leadership allowed.
-   */
-  private long commandsAllowedUntilMillis;
-
-  /**
-   * Wall-clock time of the last check of the leadership, in milliseconds. Unlike the monotonic
-   * clock, the wall clock counts the time for which the machine was suspended.
-   */
-  private long permissionWallMillis;
-
-  /** Outcome of the last check of the leadership; commands also need a recent check. */
-  private boolean commandsAllowed = true;
+  /** Whether commands may be sent, by the last check of the leadership. */
+  private final CommandPermission permission;
 
   /** Whether the term has ended; no command or record is sent after that. */
   private boolean closed;
@@ -152,7 +139,9 @@
     endedJobs = new EndedJobsCleanup(jobs, recorder, term.statusMillis());
     advice = new AdviceScheduler(adviser, timer, this::scheduleDispatch);
     gangs = new GangSupervisor(jobs, timer, term.metrics(), term.gangWaitMillis(), this::stopRun);
+    foundRuns = new FoundRuns(jobs, gangs);
     stalls = new StallSupervisor(jobs, workers, term.metrics(), timer);
+    locality = new LocalityPlanner(jobs, term.metrics());
     unreportedWorkers =
         new UnreportedWorkers(
             workers,
@@ -163,12 +152,19 @@
     organisationReport = new OrganisationReport(jobs, usage, workers, term.metrics());
     dispatcher =
         new Dispatcher(
-            jobs, workers, queues::policy, this::areRunsKnown, advice, gangs, usage, timer);
+            jobs,
+            workers,
+            queues::policy,
+            this::areRunsKnown,
+            advice,
+            gangs,
+            usage,
+            locality,
+            timer);
     intake =
         new JobIntake(
             jobs, workers, queues, usage, recorder, term.metrics(), timer, this::acceptanceChanged);
-    commandsAllowedUntilMillis = timer.monotonicMillis() + COMMAND_PERMISSION_MILLIS;
-    permissionWallMillis = timer.wallMillis();
+    permission = new CommandPermission(timer);
     check = timer.every(CHECK_PERIOD, this::check);
   }
 
@@ -210,6 +206,11 @@
     scheduleDispatch();
   }
 
+  /** Sets the factor on the run time of tasks away from their data or their group. */
+  public void setRemoteFactor(double factor) {
+    locality.setRemoteFactor(factor);
+  }
+
   /**
    * Replaces the configured queues and organisations; not called before a configuration has been
    * read.
@@ -248,9 +249,7 @@
    */
   public void setCommandsAllowed(boolean allowed) {
     boolean before = mayCommand();
-    commandsAllowedUntilMillis = timer.monotonicMillis() + COMMAND_PERMISSION_MILLIS;
-    permissionWallMillis = timer.wallMillis();
-    commandsAllowed = allowed;
+    permission.renew(allowed);
     if (mayCommand() != before) {
       LOG.atInfo().log("jobs: ordering=%s", allowed);
       scheduleDispatch();
@@ -359,13 +358,7 @@
   }
 
   private boolean mayCommand() {
-    // A wall clock that was set back may hide a suspension.
-    long wallAgeMillis = timer.wallMillis() - permissionWallMillis;
-    return commandsAllowed
-        && !closed
-        && timer.monotonicMillis() < commandsAllowedUntilMillis
-        && wallAgeMillis >= 0
-        && wallAgeMillis < COMMAND_PERMISSION_MILLIS;
+    return !closed && permission.isGranted();
   }
 
   /** Handles a job that is being accepted or whose acceptance has become durable. */
@@ -587,41 +580,15 @@
   }
 
   /** Applies the events of worker sessions to the jobs. */
-  private final class SessionCallbacks implements WorkerSession.Callbacks {
+  private final class SessionCallbacks implements SessionListener {
     @Override
     public boolean mayCommand() {
       return WorkCell.this.mayCommand();
     }
 
     @Override
-    public WorkerSession.FoundRun runFound(WorkerSession worker, CurrentRun running) {
-      Optional<TrackedTask> task = jobs.task(running.task());
-      if (task.isEmpty()) {
-        LOG.atInfo().log("jobs: unknown run task=%s worker=%s", running.task(), worker.id());
-        // The job has ended and its demand isn't recorded, so the run counts with the whole
-        // capacity of the worker until it is gone.
-        return new WorkerSession.FoundRun(worker.capacity(), Long.MAX_VALUE, false);
-      }
-      TrackedJob job = jobs.find(running.task().job()).orElseThrow();
-      TrackedStep step = job.steps().get(running.task().step());
-      TrackedTask known = task.get();
-      known.observeRun(running.run());
-      boolean wanted =
-          job.stage() == TrackedJob.Stage.OPEN
-              && known.isWaiting()
-              && gangs.memberFound(step, running.run());
-      if (wanted) {
-        known.assign(worker.id(), running.run());
-        job.markStarted();
-        gangs.memberPresent(running.task(), running.run());
-      } else {
-        known.addUnwantedRun(running.run());
-      }
-      LOG.atInfo().log(
-          "jobs: found run task=%s run=%d worker=%s wanted=%s",
-          running.task(), running.run(), worker.id(), wanted);
-      return new WorkerSession.FoundRun(
-          step.spec().demand(), StallPolicy.timeoutMillis(step.spec()), wanted);
+    public SessionListener.FoundRun runFound(WorkerSession worker, CurrentRun running) {
+      return foundRuns.assess(worker, running);
     }
 
     @Override
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -3,6 +3,8 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -69,7 +71,7 @@
   private static final long FAILURE_PAUSE_MILLIS = 4_000;
 
   /** Receives the events of this session and decides on runs. */
-  private final Callbacks callbacks;
+  private final SessionListener callbacks;
 
   /** Counts the runs of all sessions. */
   private final Reservations reservations;
@@ -137,7 +139,7 @@
   /** Creates a session; {@link #open} starts it. */
   WorkerSession(
       WorkerEntry entry,
-      Callbacks callbacks,
+      SessionListener callbacks,
       Reservations reservations,
       WorkerClient client,
       TimerService timer,
@@ -160,66 +162,6 @@
    */
   private record StartAttempt(StartCommand command, int number, long incarnation) {}
 
-  /**
-   * Decision on a reported run that the session didn't start.
-   *
-   * @param demand resources that the run uses; an upper bound if they aren't known
-   * @param stallTimeoutMillis time without progress after which it counts as stalled
-   * @param wanted whether the run may continue; otherwise it is stopped
-   */
-  record FoundRun(Resources demand, long stallTimeoutMillis, boolean wanted) {}
-
-  /** Events of a session and the decisions that it needs from the cell. */
-  interface Callbacks {
-    /** Returns whether leases may be renewed and commands sent. */
-    boolean mayCommand();
-
-    /** Returns whether the durable record says that the worker may hold runs. */
-    boolean isRecorded(WorkerSession worker);
-
-    /** Called for a reported run that this session didn't start; decides whether it continues. */
-    FoundRun runFound(WorkerSession worker, CurrentRun running);
-
-    /** Called when a start is confirmed by a response or a report. */
-    void started(WorkerSession worker, TaskRun run);
-
-    /** Called when a start was rejected and certainly won't be executed. */
-    void refused(WorkerSession worker, TaskRun run, Refusal refusal);
-
-    /** Called when a start of unknown outcome is given up, so that the run is stopped. */
-    void startGivenUp(WorkerSession worker, TaskRun run);
-
-    /** Called when a run is first seen to make progress. */
-    void progressed(TaskRun run);
-
-    /** Called when the lease has lapsed; it isn't renewed until the worker is recorded again. */
-    void leaseLapsed(WorkerSession worker);
-
-    /** Called when a worker without a durable record reports. */
-    void unrecordedWorkerReported(WorkerSession worker);
-
-    /** Called with the latest checkpoint of a run, empty for none. */
-    void checkpointSaved(TaskName task, String checkpoint);
-
-    /** Returns whether a run without progress for its stall timeout is to be stopped. */
-    boolean isStalled(WorkerSession worker, TaskRun run);
-
-    /** Called once for each reported end of a run, with the run unless it is unknown. */
-    void ended(WorkerSession worker, EndedRun end, Optional<TaskRun> run);
-
-    /** Called when a run is gone without a reported end. */
-    void lost(WorkerSession worker, TaskRun run);
-
-    /** Runs {@code action} once the effects of all events so far are durable. */
-    void whenDurable(Runnable action);
-
-    /** Called when the worker rejects a call because it follows a newer leader. */
-    void fenced();
-
-    /** Called when the free capacity or usability of the worker changed. */
-    void capacityChanged();
-  }
-
   void open() {
     requestReport();
   }
@@ -291,6 +233,11 @@
     return entry.capacity();
   }
 
+  /** Returns the runs that use capacity of the worker. */
+  Collection<TaskRun> runs() {
+    return Collections.unmodifiableCollection(runs.values());
+  }
+
   /** Updates the directory entry, unless it belongs to an earlier incarnation of the worker. */
   void updateEntry(WorkerEntry newer) {
     boolean restarted = newer.incarnation() > entry.incarnation();
@@ -651,7 +598,7 @@
   }
 
   private void addFoundRun(CurrentRun running) {
-    FoundRun found = callbacks.runFound(this, running);
+    SessionListener.FoundRun found = callbacks.runFound(this, running);
     TaskRun run =
         new TaskRun(
             running.task(),
--- a/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
@@ -66,6 +66,9 @@
   private int maxAttempts = Integer.MAX_VALUE;
   private double failureShare;
 
+  /** Factor on the run time of tasks away from the rack of their data. */
+  private int remoteFactor = 1;
+
   FakeWorkers(TimerService timer, long seed, long maxLeaseMillis) {
     this.timer = timer;
     this.maxLeaseMillis = maxLeaseMillis;
@@ -144,6 +147,10 @@
     failureShare = share;
   }
 
+  void slowRemoteTasks(int factor) {
+    remoteFactor = factor;
+  }
+
   Map<String, WorkerEntry> directory() {
     Map<String, WorkerEntry> entries = new HashMap<>();
     workers.forEach((id, worker) -> entries.put(id, worker.entry));
@@ -360,7 +367,10 @@
       }
       return;
     }
-    run.workedMillis += worker.hanging ? 0 : (long) (20 * worker.speed);
+    boolean remote =
+        run.step.dataRack().filter(rack -> !rack.equals(worker.entry.rack())).isPresent();
+    double speed = worker.hanging ? 0 : worker.speed / (remote ? remoteFactor : 1);
+    run.workedMillis += (long) (20 * speed);
     if (run.workedMillis >= lengthMillis(run) && !waitsForMembers(run)) {
       boolean failed = random.nextDouble() < failureShare;
       end(worker, run, failed ? WorkerClient.EndCause.FAILED : WorkerClient.EndCause.DONE);
