Let the cancelling of a job wait for its acceptance

Cause: WorkCell.cancel wrote the end of a job whose acceptance still waited for the store. If the acceptance was then dropped and answered 503, the job was shown as cancelled instead of unknown. Change: the cancelling of a job that is being accepted is a caller of its acceptance: an accepted job is cancelled then, a rejected one doesn't exist.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.vanillacove.coordination.work.api.CancelOutcome;
 import org.vanillacove.coordination.work.api.SubmitOutcome;
 import org.vanillacove.protocol.timer.TimerService;
 import org.vanillacove.state.api.Resources;
@@ -95,6 +96,24 @@
     accept(spec, done);
   }
 
+  /**
+   * Runs {@code cancel} once a job that is being accepted is durable. A rejected job must not leave
+   * an end behind, so nothing is written until then.
+   */
+  void cancelOnceAccepted(String id, Runnable cancel, Consumer<CancelOutcome> done) {
+    callers.add(
+        id,
+        outcome -> {
+          switch (outcome) {
+            case SubmitOutcome.Accepted accepted -> cancel.run();
+            case SubmitOutcome.Rejected rejected -> done.accept(CancelOutcome.NO_SUCH_JOB);
+            // Another outcome follows, once the store answers.
+            case SubmitOutcome.Unknown unknown -> cancelOnceAccepted(id, cancel, done);
+            case SubmitOutcome.TermEnded ended -> done.accept(CancelOutcome.TERM_ENDED);
+          }
+        });
+  }
+
   /** Answers all pending callers at the end of the term. */
   void close() {
     callers.answerAll(new SubmitOutcome.TermEnded());
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -295,6 +295,10 @@
       return;
     }
     TrackedJob job = found.get();
+    if (job.stage() == TrackedJob.Stage.ACCEPTING) {
+      intake.cancelOnceAccepted(id, () -> cancel(id, done), done);
+      return;
+    }
     pendingCancellations.add(id, done);
     if (job.stage() != TrackedJob.Stage.CANCELLING) {
       LOG.atInfo().log("jobs: cancel job=%s stage=%s", id, job.stage());
