--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
@@ -176,13 +176,6 @@
   }
 
   private void accepted(TrackedJob job, JobRecorder.WriteOutcome writeOutcome) {
-    SubmitOutcome outcome =
-        switch (writeOutcome) {
-          case STORED -> new SubmitOutcome.Accepted();
-          case NOT_STORED -> new SubmitOutcome.Rejected("store away", REJECTION_RETRY_DELAY);
-          case UNKNOWN ->
-              recorder.isClosed() ? new SubmitOutcome.TermEnded() : new SubmitOutcome.Unknown();
-        };
     long millis = timer.monotonicMillis() - job.submittedMillis();
     if (writeOutcome == JobRecorder.WriteOutcome.STORED) {
       metrics.accepted(millis);
@@ -199,6 +192,19 @@
     LOG.atInfo().log(
         "jobs: accept job=%s queue=%s outcome=%s ms=%d",
         job.id(), job.spec().queue(), writeOutcome, millis);
-    callers.answer(job.id(), outcome);
+    callers.answer(job.id(), outcome(writeOutcome));
+  }
+
+  private SubmitOutcome outcome(JobRecorder.WriteOutcome writeOutcome) {
+    if (writeOutcome == JobRecorder.WriteOutcome.STORED) {
+      return new SubmitOutcome.Accepted();
+    }
+    if (recorder.isClosed()) {
+      // A newer leader, which fenced this one, may have accepted the job.
+      return new SubmitOutcome.TermEnded();
+    }
+    return writeOutcome == JobRecorder.WriteOutcome.NOT_STORED
+        ? new SubmitOutcome.Rejected("store away", REJECTION_RETRY_DELAY)
+        : new SubmitOutcome.Unknown();
   }
 }
