--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -355,7 +355,9 @@
   private void updateWorker(WorkerEntry entry) {
     WorkerSession session = workers.get(entry.id());
     if (session != null) {
-      session.updateEntry(entry);
+      if (!session.isForeign(entry, queues.services())) {
+        session.updateEntry(entry);
+      }
       return;
     }
     WorkerSession added = new WorkerSession(entry, sessionCallbacks, client, timer, term.lease());
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -286,6 +286,13 @@
     return entry.capacity();
   }
 
+  /** Returns whether another writer wrote {@code other}: it names a service that isn't in use. */
+  boolean isForeign(WorkerEntry other, Set<String> services) {
+    return other.incarnation() <= entry.incarnation()
+        && !other.service().equals(entry.service())
+        && !services.contains(other.service());
+  }
+
   /** Updates the directory entry, unless it belongs to an earlier incarnation of the worker. */
   void updateEntry(WorkerEntry newer) {
     boolean restarted = newer.incarnation() > entry.incarnation();
