Use a restarted worker only by the entry of its own life

Change: a session knows which incarnation its entry describes. Until the present one's entry was read, the worker gets no runs and doesn't count in admission. Pauses and counted failures end with the life that caused them.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
@@ -139,6 +139,7 @@
       // Counts workers that are paused or haven't reported to a new leader yet, since they are
       // usable again before the job is late.
       if (worker.isListed()
+          && worker.isDescribed()
           && !worker.entry().draining()
           && worker.entry().service().equals(policy.service())) {
         cores += worker.capacity().cpuMillis() / 1000.0;
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -83,9 +83,12 @@
   /** Length of the worker's lease, and the maximum that workers grant. */
   private final LeaseTerms lease;
 
-  /** Latest directory entry of the worker. */
+  /** Latest directory entry of the worker, with the incarnation that the latest report told. */
   private WorkerEntry entry;
 
+  /** Incarnation whose capacity, labels, service and address the entry tells. */
+  private long describedIncarnation;
+
   /** Runs that use capacity, by task and run number. */
   private final Map<TaskRun.Key, TaskRun> runs = new HashMap<>();
 
@@ -146,6 +149,7 @@
     this.client = client;
     this.timer = timer;
     this.lease = lease;
+    describedIncarnation = entry.incarnation();
     incarnationSinceMillis = timer.monotonicMillis();
   }
 
@@ -256,6 +260,7 @@
   /** Returns whether new runs may be started now. */
   boolean isUsable(long nowMillis) {
     return listed
+        && isDescribed()
         && isRecorded()
         && !entry.draining()
         && hasReported()
@@ -286,6 +291,11 @@
     return entry.capacity();
   }
 
+  /** Returns whether the entry of the present incarnation, which may be another kind, was read. */
+  boolean isDescribed() {
+    return describedIncarnation == entry.incarnation();
+  }
+
   /** Returns whether another writer wrote {@code other}: it names a service that isn't in use. */
   boolean isForeign(WorkerEntry other, Set<String> services) {
     return other.incarnation() <= entry.incarnation()
@@ -299,10 +309,14 @@
     if (newer.incarnation() < entry.incarnation()) {
       return;
     }
+    boolean describedBefore = isDescribed();
     listed = true;
     entry = newer;
+    describedIncarnation = newer.incarnation();
     if (restarted) {
       resetForNewIncarnation();
+    } else if (!describedBefore) {
+      callbacks.capacityChanged();
     }
   }
 
@@ -566,16 +580,7 @@
   /** Takes over another start time, an earlier one if the worker's clock was set back. */
   private void changeIncarnation(long incarnation) {
     resetForNewIncarnation();
-    entry =
-        new WorkerEntry(
-            entry.id(),
-            incarnation,
-            entry.address(),
-            entry.service(),
-            entry.draining(),
-            entry.capacity(),
-            entry.rack(),
-            entry.labels());
+    entry = entry.withIncarnation(incarnation);
   }
 
   private void processEnds(List<EndedRun> ended) {
@@ -673,6 +678,8 @@
     leaseEndMillis = 0;
     reportedMillis = -1;
     clockMillis = 0;
+    pausedUntilMillis = 0;
+    consecutiveFailures = 0;
   }
 
   private void dropAllRuns() {
--- a/coordination/src/main/java/org/vanillacove/coordination/work/api/WorkerEntry.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/api/WorkerEntry.java
@@ -28,4 +28,9 @@
   public WorkerEntry {
     labels = Set.copyOf(labels);
   }
+
+  /** Returns this entry with another start time. */
+  public WorkerEntry withIncarnation(long other) {
+    return new WorkerEntry(id, other, address, service, draining, capacity, rack, labels);
+  }
 }
--- a/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
@@ -218,6 +218,23 @@
             old.labels());
   }
 
+  /** Restarts a worker as another kind, at another address of its own. */
+  void restartAs(String id, Resources capacity, String label) {
+    crash(id);
+    Worker worker = workers.get(id);
+    WorkerEntry same = worker.entry;
+    worker.entry =
+        new WorkerEntry(
+            id,
+            same.incarnation(),
+            id + ":" + (80 + same.incarnation()),
+            same.service(),
+            false,
+            capacity,
+            same.rack(),
+            Set.of(label, same.rack()));
+  }
+
   /** Removes a worker permanently; it stays in the directory if {@code listed}. */
   void remove(String id, boolean listed) {
     crash(id);
