--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.vanillacove.coordination.work.api.CancelOutcome;
 import org.vanillacove.coordination.work.api.SubmitOutcome;
 import org.vanillacove.protocol.timer.TimerService;
 import org.vanillacove.state.api.Resources;
@@ -127,6 +128,24 @@
     accept(spec, owed, done);
   }
 
+  /**
+   * Runs {@code cancel} once a job that is being accepted is durable. A rejected job must not leave
+   * an end behind, so nothing is written until then.
+   */
+  void cancelOnceAccepted(String id, Runnable cancel, Consumer<CancelOutcome> done) {
+    callers.add(
+        id,
+        outcome -> {
+          switch (outcome) {
+            case SubmitOutcome.Accepted accepted -> cancel.run();
+            case SubmitOutcome.Rejected rejected -> done.accept(CancelOutcome.NO_SUCH_JOB);
+            // Another outcome follows, once the store answers.
+            case SubmitOutcome.Unknown unknown -> cancelOnceAccepted(id, cancel, done);
+            case SubmitOutcome.TermEnded ended -> done.accept(CancelOutcome.TERM_ENDED);
+          }
+        });
+  }
+
   /** Answers all pending callers at the end of the term. */
   void close() {
     callers.answerAll(new SubmitOutcome.TermEnded());
@@ -175,6 +194,7 @@
       // Counts workers that are paused or haven't reported to a new leader yet, since they are
       // usable again before the job is late.
       if (worker.isListed()
+          && worker.isDescribed()
           && !worker.entry().draining()
           && worker.entry().service().equals(policy.service())) {
         cores += worker.capacity().cpuMillis() / 1000.0;
@@ -224,13 +244,6 @@
   }
 
   private void accepted(TrackedJob job, JobRecorder.WriteOutcome writeOutcome) {
-    SubmitOutcome outcome =
-        switch (writeOutcome) {
-          case STORED -> new SubmitOutcome.Accepted();
-          case NOT_STORED -> new SubmitOutcome.Rejected("store away", REJECTION_RETRY_DELAY);
-          case UNKNOWN ->
-              recorder.isClosed() ? new SubmitOutcome.TermEnded() : new SubmitOutcome.Unknown();
-        };
     long millis = timer.monotonicMillis() - job.submittedMillis();
     if (writeOutcome == JobRecorder.WriteOutcome.STORED) {
       metrics.accepted(millis);
@@ -247,6 +260,19 @@
     LOG.atInfo().log(
         "jobs: accept job=%s queue=%s outcome=%s ms=%d",
         job.id(), job.spec().queue(), writeOutcome, millis);
-    callers.answer(job.id(), outcome);
+    callers.answer(job.id(), outcome(writeOutcome));
+  }
+
+  private SubmitOutcome outcome(JobRecorder.WriteOutcome writeOutcome) {
+    if (writeOutcome == JobRecorder.WriteOutcome.STORED) {
+      return new SubmitOutcome.Accepted();
+    }
+    if (recorder.isClosed()) {
+      // A newer leader, which fenced this one, may have accepted the job.
+      return new SubmitOutcome.TermEnded();
+    }
+    return writeOutcome == JobRecorder.WriteOutcome.NOT_STORED
+        ? new SubmitOutcome.Rejected("store away", REJECTION_RETRY_DELAY)
+        : new SubmitOutcome.Unknown();
   }
 }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -326,6 +326,10 @@
       return;
     }
     TrackedJob job = found.get();
+    if (job.stage() == TrackedJob.Stage.ACCEPTING) {
+      intake.cancelOnceAccepted(id, () -> cancel(id, done), done);
+      return;
+    }
     pendingCancellations.add(id, done);
     if (job.stage() != TrackedJob.Stage.CANCELLING) {
       LOG.atInfo().log("jobs: cancel job=%s stage=%s", id, job.stage());
@@ -377,7 +381,9 @@
   private void updateWorker(WorkerEntry entry) {
     WorkerSession session = workers.get(entry.id());
     if (session != null) {
-      session.updateEntry(entry);
+      if (!session.isForeign(entry, queues.services())) {
+        session.updateEntry(entry);
+      }
       return;
     }
     WorkerSession added =
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerHistory.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerHistory.java
@@ -41,8 +41,9 @@
     return stoodClockMillis > movedClockMillis;
   }
 
-  /** Forgets the times on the worker's clock, which begins anew with an incarnation. */
-  void resetClock() {
+  /** Forgets what was seen of a former incarnation; the worker's clock begins anew, too. */
+  void reset() {
+    consecutiveFailures = 0;
     movedClockMillis = -1;
     stoodClockMillis = -1;
   }
