Place gangs on workers of like speed

Cause: workers differ in speed from 0.6 to 1.6, and a gang ends with its slowest member. Workers were chosen by best fit alone.

Change: SpeedEstimate learns the speed of each worker from the progress of runs, shrunk to 1 while there are few. Gangs go to the fastest workers that hold them, calls for advice name these first, and so are tasks placed that would be late on a slow worker. With equal speeds the order is as before.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
@@ -227,7 +227,11 @@
     TrackedStep step = candidate.step();
     List<TrackedTask> waiting = step.waiting();
     List<String> chosen =
-        PlacementPolicy.place(step.spec(), waiting.size(), capacities(candidate, sessions));
+        PlacementPolicy.place(
+            step.spec(),
+            waiting.size(),
+            capacities(candidate, sessions),
+            candidate.waiting().isUrgent(timer.monotonicMillis()));
     int gangRun = step.nextGangRun();
     String gangCheckpoint = step.gangCheckpoint();
     if (step.spec().gang() && !chosen.isEmpty()) {
@@ -261,6 +265,9 @@
             step.spec().demand(),
             StallPolicy.timeoutMillis(step.spec()),
             TaskRun.Phase.ORDERED);
+    if (step.spec().isSpeedComparable(worker.entry().rack())) {
+      run.measureSpeed(step.spec().estimateMillis());
+    }
     Optional<String> ticket = step.advice().ticket(worker.id(), timer.monotonicMillis());
     worker.start(run, candidate.job().spec().payload(), checkpoint, ticket);
   }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/TaskRun.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/TaskRun.java
@@ -1,12 +1,17 @@
 package org.vanillacove.coordination.work;
 
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.vanillacove.coordination.work.api.TaskName;
 import org.vanillacove.coordination.work.api.WorkerClient.CurrentRun;
 import org.vanillacove.state.api.Resources;
+import org.vanillacove.state.work.OverrunPolicy;
 
 /** A run that uses capacity of a worker, from the start command until its end is reported. */
 final class TaskRun {
+  /** Minimum rise of the percentage from which a speed is computed; reports have whole percents. */
+  private static final int MIN_MEASURED_PERCENT = 20;
+
   /** Task that is run. */
   private final TaskName task;
 
@@ -43,6 +48,15 @@
   /** Whether this leader started the run without a checkpoint, so that its length is known. */
   private boolean measured;
 
+  /** Declared run time by which the speed is measured, in milliseconds; 0 unless it is to be. */
+  private long declaredMillis;
+
+  /** Percentage at the begin of the measurement of speed; 0 before it. */
+  private int measuredPercent;
+
+  /** Worker's clock at the begin of that measurement, in milliseconds. */
+  private long measuredClockMillis;
+
   /** Whether it was logged that the run lasts longer than declared. */
   private boolean overdue;
 
@@ -152,6 +166,30 @@
     measured = true;
   }
 
+  /** Sets the declared run time of a run whose progress shows the speed of its worker. */
+  void measureSpeed(long declared) {
+    declaredMillis = declared;
+  }
+
+  /** Returns the speed of the run, once when enough was done to tell it. */
+  OptionalDouble measuredSpeed() {
+    if (declaredMillis <= 0 || percent <= 0 || percent >= OverrunPolicy.FULL_PERCENT) {
+      return OptionalDouble.empty();
+    }
+    if (measuredPercent == 0) {
+      measuredPercent = percent;
+      measuredClockMillis = reportClockMillis;
+    }
+    int done = percent - measuredPercent;
+    long millis = reportClockMillis - measuredClockMillis;
+    if (done < MIN_MEASURED_PERCENT || millis <= 0) {
+      return OptionalDouble.empty();
+    }
+    double worked = (double) done / OverrunPolicy.FULL_PERCENT * declaredMillis;
+    declaredMillis = 0;
+    return OptionalDouble.of(worked / millis);
+  }
+
   /** Returns the time for which the run has worked, or empty if its start isn't known. */
   OptionalLong workedMillis(long nowMillis) {
     return measured && phase == Phase.RUNNING
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerHistory.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerHistory.java
@@ -1,5 +1,7 @@
 package org.vanillacove.coordination.work;
 
+import com.google.common.flogger.FluentLogger;
+import org.vanillacove.state.estimate.SpeedEstimate;
 import org.vanillacove.state.work.OverrunPolicy;
 
 /**
@@ -10,6 +12,21 @@
   /** Number of consecutive failed runs after which new starts are paused. */
   private static final int MAX_CONSECUTIVE_FAILURES = 3;
 
+  /** Logs noticeable changes of the speed (prefix {@code workers:}). */
+  private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+
+  /** Relative change of the speed that is logged. */
+  private static final double LOGGED_DIFFERENCE = 0.25;
+
+  /** Identifier of the worker. */
+  private final String worker;
+
+  /** Speed of the runs; stays with the machine when its worker restarts. */
+  private final SpeedEstimate speed = new SpeedEstimate();
+
+  /** Speed that was logged last. */
+  private double loggedSpeed = 1;
+
   /** Number of consecutive failed runs. */
   private int consecutiveFailures;
 
@@ -19,8 +36,14 @@
   /** Worker's clock at which a run below 100 percent stood still last; -1 before. */
   private long stoodClockMillis = -1;
 
+  /** Creates a history without runs. */
+  WorkerHistory(String worker) {
+    this.worker = worker;
+  }
+
   /** Takes over the progress of a run in a report made at {@code clockMillis}. */
   void update(TaskRun run, long clockMillis) {
+    run.measuredSpeed().ifPresent(this::speedMeasured);
     if (run.hasProgressed() && run.stillMillis() == 0) {
       movedClockMillis = clockMillis;
     } else if (run.percent() < OverrunPolicy.FULL_PERCENT
@@ -36,6 +59,19 @@
     return consecutiveFailures >= MAX_CONSECUTIVE_FAILURES;
   }
 
+  /** Returns the estimated speed relative to declared run times; 1 if nothing is known. */
+  double speed() {
+    return speed.speed();
+  }
+
+  private void speedMeasured(double measured) {
+    speed.observe(measured);
+    if (Math.abs(speed() - loggedSpeed) > LOGGED_DIFFERENCE * loggedSpeed) {
+      LOG.atInfo().log("workers: speed worker=%s speed=%.2f", worker, speed());
+      loggedSpeed = speed();
+    }
+  }
+
   /** Returns whether runs on the worker stand still and none has moved since. */
   boolean standsStill() {
     return stoodClockMillis > movedClockMillis;
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -120,7 +120,7 @@
   private long pausedUntilMillis;
 
   /** Failures and progress of the runs on the worker. */
-  private final WorkerHistory history = new WorkerHistory();
+  private final WorkerHistory history;
 
   /** Whether the worker is in the directory. */
   private boolean listed = true;
@@ -143,6 +143,7 @@
     this.client = client;
     this.timer = timer;
     this.lease = lease;
+    history = new WorkerHistory(entry.id());
     incarnationSinceMillis = timer.monotonicMillis();
   }
 
@@ -273,13 +274,19 @@
         }
       }
     }
+    return freeCapacity(same);
+  }
+
+  /** Returns the capacity for a step of which {@code tasksOfStep} tasks run on this worker. */
+  WorkerCapacity freeCapacity(int tasksOfStep) {
     return new WorkerCapacity(
         entry.id(),
         entry.rack(),
         entry.labels(),
         entry.capacity(),
         entry.capacity().minus(used),
-        same);
+        tasksOfStep,
+        history.speed());
   }
 
   Resources capacity() {
--- a/state/src/main/java/org/vanillacove/state/work/OverrunPolicy.java
+++ b/state/src/main/java/org/vanillacove/state/work/OverrunPolicy.java
@@ -3,9 +3,9 @@
 import org.vanillacove.state.estimate.RunTimeRatios;
 
 /**
- * Decides whether a run that has used up its declared run time and shows no progress is stopped.
- * The load that it answers: run times with a heavy tail, where a few runs last many times as long
- * as declared and their percentage stays at 100. Stopping these throws away their work and doesn't
+ * Decides whether a run at 100 percent that shows no progress is stopped. The load that it answers:
+ * gangs on workers of unlike speed, whose fast members stay at 100 percent until the slowest one is
+ * done, and run times with a heavy tail. Stopping such runs throws away their work and doesn't
  * shorten them, as the work of a task stays the same. So a run is only stopped if it probably
  * stands still: on a worker where other runs stand still and none moves, or if it lasts longer than
  * observed runs do.
--- a/state/src/main/java/org/vanillacove/state/work/PlacementPolicy.java
+++ b/state/src/main/java/org/vanillacove/state/work/PlacementPolicy.java
@@ -10,9 +10,17 @@
 
 /**
  * Chooses workers for the tasks of one step by best fit, which keeps empty workers free for gangs.
- * Steps that run faster on the rack of their data prefer that rack.
+ * Steps that run faster on the rack of their data prefer that rack. On workers of unlike speed a
+ * gang goes to the fastest ones that hold it, since it ends with its slowest member, and so do
+ * tasks that would be late on a slow worker.
  */
 public final class PlacementPolicy {
+  /** Share of the required speed from which workers count as fast enough. */
+  private static final double LIKE_SPEED_SHARE = 0.85;
+
+  /** Speed classes for each unit of speed, so that inaccurate estimates seldom decide. */
+  private static final int CLASSES_PER_SPEED = 4;
+
   private PlacementPolicy() {}
 
   /**
@@ -20,8 +28,9 @@
    *
    * @param id identifier of the worker
    * @param slots how many tasks of the step fit on it
+   * @param speedClass class of its speed; 0 if speed doesn't count or no task fits
    */
-  private record Ranked(String id, int slots) {}
+  private record Ranked(String id, int slots, long speedClass) {}
 
   /**
    * Returns a worker for each of up to {@code count} tasks.
@@ -32,13 +41,31 @@
    * @return identifiers of workers, one for each placed task; for a gang all or none
    */
   public static List<String> place(StepSpec step, int count, List<WorkerCapacity> workers) {
+    return place(step, count, workers, false);
+  }
+
+  /**
+   * Returns a worker for each of up to {@code count} tasks.
+   *
+   * @param step step whose tasks are placed
+   * @param count number of tasks to place
+   * @param workers workers that the step may use, with their free capacity
+   * @param urgent whether the tasks would be late on a slow worker
+   * @return identifiers of workers, one for each placed task; for a gang all or none
+   */
+  public static List<String> place(
+      StepSpec step, int count, List<WorkerCapacity> workers, boolean urgent) {
     int slots = slots(step, workers);
     if (slots == 0 || (step.gang() && slots < count)) {
       return List.of();
     }
     List<String> chosen = step.sameRack() ? placeOnOneRack(step, count, workers) : List.of();
     if (chosen.size() < count) {
-      chosen = fill(step, count, inPlacementOrder(step, workers));
+      // Away from the data tasks take several times as long, which no speed makes up for.
+      boolean bySpeed = step.dataRack().isEmpty() && (step.gang() || urgent);
+      List<WorkerCapacity> considered =
+          bySpeed ? fastest(step, Math.min(count, slots), workers) : workers;
+      chosen = fill(step, count, inPlacementOrder(step, considered));
     }
     return step.gang() && chosen.size() < count ? List.of() : chosen;
   }
@@ -71,13 +98,23 @@
     return slots;
   }
 
-  /** Returns the identifiers of up to {@code count} workers, those with the most slots first. */
+  /**
+   * Returns the identifiers of up to {@code count} workers, those with the most slots first; for a
+   * gang the fastest ones first.
+   */
   public static List<String> mostSlots(StepSpec step, List<WorkerCapacity> workers, int count) {
     List<Ranked> ranked = new ArrayList<>();
     for (WorkerCapacity worker : workers) {
-      ranked.add(new Ranked(worker.id(), worker.slots(step)));
+      int slots = worker.slots(step);
+      long speedClass =
+          step.gang() && slots > 0 ? Math.round(worker.speed() * CLASSES_PER_SPEED) : 0;
+      ranked.add(new Ranked(worker.id(), slots, speedClass));
     }
-    ranked.sort(Comparator.comparingInt(Ranked::slots).reversed().thenComparing(Ranked::id));
+    ranked.sort(
+        Comparator.comparingLong(Ranked::speedClass)
+            .thenComparingInt(Ranked::slots)
+            .reversed()
+            .thenComparing(Ranked::id));
     return ranked.stream().limit(count).map(Ranked::id).toList();
   }
 
@@ -92,6 +129,26 @@
         .orElse(List.of());
   }
 
+  /** Returns the workers of the highest like speed that hold {@code count} tasks together. */
+  private static List<WorkerCapacity> fastest(
+      StepSpec step, int count, List<WorkerCapacity> workers) {
+    List<WorkerCapacity> bySpeed =
+        workers.stream()
+            .sorted(Comparator.comparingDouble(WorkerCapacity::speed).reversed())
+            .toList();
+    int slots = 0;
+    double slowest = 0;
+    for (WorkerCapacity worker : bySpeed) {
+      slots += worker.slots(step);
+      slowest = worker.speed();
+      if (slots >= count) {
+        break;
+      }
+    }
+    double required = slowest * LIKE_SPEED_SHARE;
+    return workers.stream().filter(worker -> worker.speed() >= required).toList();
+  }
+
   private static List<WorkerCapacity> inPlacementOrder(
       StepSpec step, List<WorkerCapacity> workers) {
     Function<WorkerCapacity, Boolean> outsideDataRack =
--- a/state/src/main/java/org/vanillacove/state/work/ServiceOrder.java
+++ b/state/src/main/java/org/vanillacove/state/work/ServiceOrder.java
@@ -11,6 +11,9 @@
   /** Multiple of the objective after which a job earns no credit, by the users' rules. */
   private static final int NO_CREDIT_FACTOR = 3;
 
+  /** Speed of a slow worker relative to declared run times. */
+  private static final double SLOW_SPEED = 0.6;
+
   private ServiceOrder() {}
 
   /**
@@ -35,6 +38,17 @@
       return end <= NO_CREDIT_FACTOR * objectiveMillis ? 1 : 2;
     }
 
+    /** Returns whether the job can be on time, but not on a slow worker. */
+    public boolean isUrgent(long nowMillis) {
+      return lateness(nowMillis) == 0
+          && latestStartMillis() - nowMillis < remainingMillis * (1 / SLOW_SPEED - 1);
+    }
+
+    /** Returns whether the job earns no credit any more, so that it is served last. */
+    public boolean earnsNothing(long nowMillis) {
+      return lateness(nowMillis) > 1;
+    }
+
     /** Returns the latest start time at which the job is still on time. */
     long latestStartMillis() {
       return submittedMillis + objectiveMillis - remainingMillis;
--- a/state/src/main/java/org/vanillacove/state/work/StepSpec.java
+++ b/state/src/main/java/org/vanillacove/state/work/StepSpec.java
@@ -37,6 +37,11 @@
     after = List.copyOf(after);
   }
 
+  /** Returns whether a run on {@code rack} proceeds at the speed of its worker alone. */
+  public boolean isSpeedComparable(String rack) {
+    return !sameRack && dataRack.map(rack::equals).orElse(true);
+  }
+
   /** Returns the declared work of the whole step in milliseconds of one core, at most MAX_VALUE. */
   public long coreMillis() {
     return (long) ((double) demand.cpuMillis() * estimateMillis / MILLIS_PER_CORE * count);
--- a/state/src/main/java/org/vanillacove/state/work/WorkerCapacity.java
+++ b/state/src/main/java/org/vanillacove/state/work/WorkerCapacity.java
@@ -12,6 +12,7 @@
  * @param capacity total resources
  * @param free resources not used by any run and not reserved for a start in progress
  * @param tasksOfStep number of tasks of the step that already run here
+ * @param speed estimated speed relative to declared run times; 1 if nothing is known
  */
 public record WorkerCapacity(
     String id,
@@ -19,7 +20,8 @@
     Set<String> labels,
     Resources capacity,
     Resources free,
-    int tasksOfStep) {
+    int tasksOfStep,
+    double speed) {
 
   /** Returns how many more tasks of {@code step} fit on this worker now. */
   public int slots(StepSpec step) {
@@ -39,7 +41,7 @@
 
   /** Returns this worker as it would be without any run. */
   public WorkerCapacity withoutRuns() {
-    return new WorkerCapacity(id, rack, labels, capacity, capacity, 0);
+    return new WorkerCapacity(id, rack, labels, capacity, capacity, 0, speed);
   }
 
   /** Returns the higher utilization of CPU and memory after {@code demand} is added. */
