Accept jobs whose first step fits into free workers

Cause: a job was rejected for the backlog before it also if that could not use the workers that are free (a gang that waits for more), or is served last since it earns nothing any more. Callers that were rejected together came back together.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
@@ -3,13 +3,10 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.vanillacove.coordination.work.api.SubmitOutcome;
 import org.vanillacove.protocol.timer.TimerService;
-import org.vanillacove.state.api.Resources;
-import org.vanillacove.state.work.AdmissionPolicy;
 import org.vanillacove.state.work.JobSpec;
 import org.vanillacove.state.work.QueuePolicy;
 
@@ -24,8 +21,8 @@
   /** All known jobs. */
   private final JobTable jobs;
 
-  /** Sessions by worker identifier; maintained by the cell. */
-  private final Map<String, WorkerSession> workers;
+  /** Forecasts whether a job can be on time. */
+  private final AdmissionForecast forecast;
 
   /** Policies of the queues; only configured ones accept jobs. */
   private final QueueTable queues;
@@ -48,14 +45,14 @@
   /** Creates an intake without pending callers. */
   JobIntake(
       JobTable jobs,
-      Map<String, WorkerSession> workers,
+      AdmissionForecast forecast,
       QueueTable queues,
       JobRecorder recorder,
       CellMetrics metrics,
       TimerService timer,
       Consumer<TrackedJob> changed) {
     this.jobs = jobs;
-    this.workers = workers;
+    this.forecast = forecast;
     this.queues = queues;
     this.recorder = recorder;
     this.metrics = metrics;
@@ -108,39 +105,11 @@
     if (recorder.isStoreUnavailable()) {
       return Optional.of(new SubmitOutcome.Rejected("store away", REJECTION_RETRY_DELAY));
     }
-    return AdmissionPolicy.rejection(admissionView(spec, policy.get()))
+    return forecast
+        .rejection(spec, policy.get())
         .map(retry -> new SubmitOutcome.Rejected("backlog", retry));
   }
 
-  private AdmissionPolicy.View admissionView(JobSpec spec, QueuePolicy policy) {
-    double cores = 0;
-    Resources largest = Resources.NONE;
-    for (WorkerSession worker : workers.values()) {
-      largest = largest.max(worker.capacity());
-      // Counts workers that are paused or haven't reported to a new leader yet, since they are
-      // usable again before the job is late.
-      if (worker.isListed()
-          && !worker.entry().draining()
-          && worker.entry().service().equals(policy.service())) {
-        cores += worker.capacity().cpuMillis() / 1000.0;
-      }
-    }
-    double backlog = 0;
-    for (TrackedJob job : jobs.open()) {
-      boolean precedes =
-          queues
-              .policy(job.spec().queue())
-              .filter(other -> other.priority() <= policy.priority())
-              .isPresent();
-      if (precedes) {
-        // Work that is too large for every worker keeps none of them from other jobs.
-        backlog += job.waitingCoreMillis(largest);
-      }
-    }
-    long slack = policy.objectiveMillis(spec) - spec.chainMillis();
-    return new AdmissionPolicy.View(cores, backlog, slack);
-  }
-
   private void accept(JobSpec spec, Consumer<SubmitOutcome> done) {
     long objective = queues.configured(spec.queue()).orElseThrow().objectiveMillis(spec);
     TrackedJob job =
--- a/coordination/src/main/java/org/vanillacove/coordination/work/TrackedJob.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/TrackedJob.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.vanillacove.coordination.work.api.JobView;
-import org.vanillacove.state.api.Resources;
 import org.vanillacove.state.work.JobSpec;
 import org.vanillacove.state.work.QueuePolicy;
 import org.vanillacove.state.work.ServiceOrder;
@@ -158,20 +157,6 @@
         policy.priority(), submittedMillis, objectiveMillis, remainingMillis(step));
   }
 
-  /**
-   * Returns the estimated work of the waiting tasks whose demand fits into {@code largest}, in
-   * milliseconds of one core.
-   */
-  long waitingCoreMillis(Resources largest) {
-    long total = 0;
-    for (TrackedStep step : steps) {
-      if (step.spec().demand().fitsIn(largest)) {
-        total += step.spec().coreMillis() / step.spec().count() * step.waitingCount();
-      }
-    }
-    return total;
-  }
-
   /** Returns the state shown to callers. */
   JobView view() {
     return view(stage, started);
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -151,7 +151,13 @@
         new Dispatcher(jobs, workers, queues::policy, this::areRunsKnown, advice, gangs, timer);
     intake =
         new JobIntake(
-            jobs, workers, queues, recorder, term.metrics(), timer, this::acceptanceChanged);
+            jobs,
+            new AdmissionForecast(jobs, workers, queues, timer),
+            queues,
+            recorder,
+            term.metrics(),
+            timer,
+            this::acceptanceChanged);
     commandsAllowedUntilMillis = timer.monotonicMillis() + COMMAND_PERMISSION_MILLIS;
     permissionWallMillis = timer.wallMillis();
     unreportedWorkers =
