--- a/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/Dispatcher.java
@@ -267,7 +267,11 @@
     List<TrackedTask> waiting = step.waiting();
     int startable = claims.startable(candidate.job(), step);
     List<String> chosen =
-        PlacementPolicy.place(step.spec(), startable, capacities(candidate, sessions));
+        PlacementPolicy.place(
+            step.spec(),
+            startable,
+            capacities(candidate, sessions),
+            candidate.waiting().isUrgent(timer.monotonicMillis()));
     int gangRun = step.nextGangRun();
     String gangCheckpoint = step.gangCheckpoint();
     if (step.spec().gang() && !chosen.isEmpty()) {
@@ -302,6 +306,9 @@
             step.spec().demand(),
             StallPolicy.timeoutMillis(step.spec()),
             TaskRun.Phase.ORDERED);
+    if (step.spec().isSpeedComparable(worker.entry().rack())) {
+      run.measureSpeed(step.spec().estimateMillis());
+    }
     Optional<String> ticket = step.advice().ticket(worker.id(), timer.monotonicMillis());
     worker.start(run, candidate.job().spec().payload(), checkpoint, ticket);
   }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
@@ -2,18 +2,14 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
-import java.util.HashMap;
 import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.vanillacove.coordination.work.api.CancelOutcome;
 import org.vanillacove.coordination.work.api.SubmitOutcome;
 import org.vanillacove.protocol.timer.TimerService;
-import org.vanillacove.state.api.Resources;
 import org.vanillacove.state.tenancy.CapPolicy;
 import org.vanillacove.state.tenancy.ExcessPolicy;
-import org.vanillacove.state.work.AdmissionPolicy;
 import org.vanillacove.state.work.JobSpec;
 import org.vanillacove.state.work.QueuePolicy;
 
@@ -34,8 +30,8 @@
   /** All known jobs. */
   private final JobTable jobs;
 
-  /** Sessions by worker identifier; maintained by the cell. */
-  private final Map<String, WorkerSession> workers;
+  /** Forecasts whether a job can be on time. */
+  private final AdmissionForecast forecast;
 
   /** Policies of the queues; only configured ones accept jobs. */
   private final QueueTable queues;
@@ -64,7 +60,7 @@
   /** Creates an intake without pending callers. */
   JobIntake(
       JobTable jobs,
-      Map<String, WorkerSession> workers,
+      AdmissionForecast forecast,
       QueueTable queues,
       OrganisationUsage usage,
       JobRecorder recorder,
@@ -72,7 +68,7 @@
       TimerService timer,
       Consumer<TrackedJob> changed) {
     this.jobs = jobs;
-    this.workers = workers;
+    this.forecast = forecast;
     this.queues = queues;
     this.usage = usage;
     rates = new OrganisationRates(usage);
@@ -163,14 +159,16 @@
     if (excess.isPresent()) {
       return Optional.of(exceedsCap(excess.get()));
     }
-    AdmissionPolicy.View view = admissionView(spec, policy.get(), owed);
     if (!owed) {
-      Optional<Duration> retry = ExcessPolicy.rejection(view, rates.millisToNext(spec));
+      Optional<Duration> retry =
+          ExcessPolicy.rejection(
+              spec.id(), forecast.view(spec, policy.get(), false), rates.millisToNext(spec));
       if (retry.isPresent()) {
         return Optional.of(new SubmitOutcome.Rejected("beyond weight", retry.get()));
       }
     }
-    return AdmissionPolicy.rejection(view)
+    return forecast
+        .rejection(spec, policy.get(), owed)
         .map(retry -> new SubmitOutcome.Rejected("backlog", retry));
   }
 
@@ -186,45 +184,6 @@
         "exceeds cap of " + excess.component(), detail, CAP_RETRY_DELAY);
   }
 
-  private AdmissionPolicy.View admissionView(JobSpec spec, QueuePolicy policy, boolean owed) {
-    double cores = 0;
-    Resources largest = Resources.NONE;
-    for (WorkerSession worker : workers.values()) {
-      largest = largest.max(worker.capacity());
-      // Counts workers that are paused or haven't reported to a new leader yet, since they are
-      // usable again before the job is late.
-      if (worker.isListed()
-          && worker.isDescribed()
-          && !worker.entry().draining()
-          && worker.entry().service().equals(policy.service())) {
-        cores += worker.capacity().cpuMillis() / 1000.0;
-      }
-    }
-    Map<String, Double> backlogs = new HashMap<>();
-    for (TrackedJob job : jobs.open()) {
-      boolean precedes =
-          queues
-              .policy(job.spec().queue())
-              .filter(other -> other.priority() <= policy.priority())
-              .isPresent();
-      if (precedes && !(owed && isExcessOfOther(job, spec))) {
-        // Work that is too large for every worker keeps none of them from other jobs.
-        backlogs.merge(
-            OrganisationUsage.nameOf(job.spec()),
-            (double) job.waitingCoreMillis(largest),
-            Double::sum);
-      }
-    }
-    double backlog = usage.precedingWork(backlogs, spec, owed);
-    long slack = policy.objectiveMillis(spec) - spec.chainMillis();
-    return new AdmissionPolicy.View(cores, backlog, slack);
-  }
-
-  /** Returns whether {@code job} is beyond the rate of another organisation than that of spec. */
-  private static boolean isExcessOfOther(TrackedJob job, JobSpec spec) {
-    return job.isExcess() && !job.spec().organisation().equals(spec.organisation());
-  }
-
   private void accept(JobSpec spec, boolean owed, Consumer<SubmitOutcome> done) {
     long objective = queues.configured(spec.queue()).orElseThrow().objectiveMillis(spec);
     TrackedJob job =
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -163,7 +163,14 @@
             timer);
     intake =
         new JobIntake(
-            jobs, workers, queues, usage, recorder, term.metrics(), timer, this::acceptanceChanged);
+            jobs,
+            new AdmissionForecast(jobs, workers, queues, usage, timer),
+            queues,
+            usage,
+            recorder,
+            term.metrics(),
+            timer,
+            this::acceptanceChanged);
     permission = new CommandPermission(timer);
     check = timer.every(CHECK_PERIOD, this::check);
   }
@@ -265,12 +272,7 @@
 
   /** Returns the share of the listed workers that don't answer this leader, 0 to 1. */
   public double silentWorkerShare() {
-    long listed = workers.values().stream().filter(WorkerSession::isListed).count();
-    long silent =
-        workers.values().stream()
-            .filter(worker -> worker.isListed() && !worker.isReporting())
-            .count();
-    return listed == 0 ? 0 : (double) silent / listed;
+    return WorkerSession.silentShare(workers.values());
   }
 
   /** Returns whether the store is unavailable at present. */
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -128,7 +128,7 @@
   private long pausedUntilMillis;
 
   /** Failures and progress of the runs on the worker. */
-  private final WorkerHistory history = new WorkerHistory();
+  private final WorkerHistory history;
 
   /** Whether the worker is in the directory. */
   private boolean listed = true;
@@ -154,6 +154,7 @@
     this.timer = timer;
     this.lease = lease;
     describedIncarnation = entry.incarnation();
+    history = new WorkerHistory(entry.id());
     incarnationSinceMillis = timer.monotonicMillis();
   }
 
@@ -196,6 +197,13 @@
     return !isRecorded() || (hasReported() && missedReports == 0);
   }
 
+  /** Returns the share of the listed ones of {@code sessions} that don't answer, 0 to 1. */
+  static double silentShare(Collection<WorkerSession> sessions) {
+    long listed = sessions.stream().filter(WorkerSession::isListed).count();
+    long silent = sessions.stream().filter(each -> each.listed && !each.isReporting()).count();
+    return listed == 0 ? 0 : (double) silent / listed;
+  }
+
   boolean isListed() {
     return listed;
   }
@@ -225,13 +233,19 @@
         }
       }
     }
+    return freeCapacity(same);
+  }
+
+  /** Returns the capacity for a step of which {@code tasksOfStep} tasks run on this worker. */
+  WorkerCapacity freeCapacity(int tasksOfStep) {
     return new WorkerCapacity(
         entry.id(),
         entry.rack(),
         entry.labels(),
         entry.capacity(),
         entry.capacity().minus(used),
-        same);
+        tasksOfStep,
+        history.speed());
   }
 
   Resources capacity() {
--- a/state/src/main/java/org/vanillacove/state/tenancy/ExcessPolicy.java
+++ b/state/src/main/java/org/vanillacove/state/tenancy/ExcessPolicy.java
@@ -24,17 +24,21 @@
   /**
    * Returns empty to accept the job, or the retry delay of a rejected caller.
    *
+   * @param job identifier of the job, by which returning callers are spread
    * @param view capacity and all work that precedes the job
    * @param millisToNext time until a job of the organisation is within its rate again
    */
-  public static Optional<Duration> rejection(AdmissionPolicy.View view, long millisToNext) {
+  public static Optional<Duration> rejection(
+      String job, AdmissionPolicy.View view, long millisToNext) {
     AdmissionPolicy.View shorter =
         new AdmissionPolicy.View(
             view.capacityCores(),
             view.backlogCoreMillis(),
             (long) (Math.max(0, view.slackMillis()) * EXCESS_SHARE));
-    return AdmissionPolicy.rejection(shorter)
-        .map(delay -> delay.plusMillis(millisToNext))
-        .map(delay -> delay.compareTo(MAX_RETRY_DELAY) > 0 ? MAX_RETRY_DELAY : delay);
+    if (AdmissionPolicy.isOnTime(shorter)) {
+      return Optional.empty();
+    }
+    Duration delay = AdmissionPolicy.retryDelay(job, shorter).plusMillis(millisToNext);
+    return Optional.of(delay.compareTo(MAX_RETRY_DELAY) > 0 ? MAX_RETRY_DELAY : delay);
   }
 }
--- a/state/src/test/java/org/vanillacove/state/locality/NearPlaceForecastTest.java
+++ b/state/src/test/java/org/vanillacove/state/locality/NearPlaceForecastTest.java
@@ -49,7 +49,7 @@
   }
 
   private static WorkerCapacity worker(String id, long freeCpu) {
-    return new WorkerCapacity(id, "r1", Set.of(), CAPACITY, new Resources(freeCpu, 8_000, 0), 0);
+    return new WorkerCapacity(id, "r1", Set.of(), CAPACITY, new Resources(freeCpu, 8_000, 0), 0, 1);
   }
 
   private static StepSpec step(int count, long cpu) {
--- a/state/src/test/java/org/vanillacove/state/tenancy/OwedRateTest.java
+++ b/state/src/test/java/org/vanillacove/state/tenancy/OwedRateTest.java
@@ -42,8 +42,8 @@
   @CsvSource({"0,0,true", "40000,0,true", "51000,0,false", "99000,0,false", "99000,90000,false"})
   void excessIsAcceptedWhileThereIsRoom(double backlog, long millisToNext, boolean accepted) {
     AdmissionPolicy.View view = new AdmissionPolicy.View(10 / 0.85, backlog, 10_000);
-    assertThat(ExcessPolicy.rejection(view, millisToNext).isEmpty()).isEqualTo(accepted);
-    ExcessPolicy.rejection(view, millisToNext)
+    assertThat(ExcessPolicy.rejection("a1", view, millisToNext).isEmpty()).isEqualTo(accepted);
+    ExcessPolicy.rejection("a1", view, millisToNext)
         .ifPresent(delay -> assertThat(delay.toMillis()).isBetween(1_000L, 8_000L));
   }
 }
