Log what the end of a worker's lease was computed from

When a lease is counted as lapsed, the log told the silence only. Neither the worker's clock nor the assumed lease end could be read, so a lease that was underestimated looked like one that was extended later.

The bound moves from WorkerSession into LeaseBound, unchanged. It is logged with the first report and the lapse, and leases_lapsed_total counts the lapses by their basis.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/CellMetrics.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/CellMetrics.java
@@ -123,6 +123,11 @@
     count("runs", name(kind));
   }
 
+  /** Counts a lease that has lapsed by what its end was computed from. */
+  void leaseLapsed(LeaseBound.Basis basis) {
+    count("leases.lapsed", name(basis));
+  }
+
   void gangCompleted(long millis) {
     gangCompletion.record(Duration.ofMillis(millis));
   }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/SessionListener.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/SessionListener.java
@@ -39,8 +39,12 @@
   /** Called when a run is first seen to make progress. */
   void progressed(TaskRun run);
 
-  /** Called when the lease has lapsed; it isn't renewed until the worker is recorded again. */
-  void leaseLapsed(WorkerSession worker);
+  /**
+   * Called when the lease has lapsed; it isn't renewed until the worker is recorded again.
+   *
+   * @param basis what the end of the lease was computed from
+   */
+  void leaseLapsed(WorkerSession worker, LeaseBound.Basis basis);
 
   /** Called when a worker without a durable record reports. */
   void unrecordedWorkerReported(WorkerSession worker);
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -644,7 +644,8 @@
     }
 
     @Override
-    public void leaseLapsed(WorkerSession worker) {
+    public void leaseLapsed(WorkerSession worker, LeaseBound.Basis basis) {
+      term.metrics().leaseLapsed(basis);
       workerRecords.remove(worker.id());
       unreportedWorkers.remove(worker.id());
     }
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -50,20 +50,12 @@
   /** Maximum attempts of a start command; after that a stop command is sent instead. */
   private static final int MAX_START_ATTEMPTS = 3;
 
-  /**
-   * Minimum rate of a worker's clock relative to this host's clock, by the users' specification.
-   */
-  private static final double MIN_CLOCK_RATE = 0.98;
-
   /**
    * Maximum age of the latest report at which ends are acknowledged. The numbers of ends begin anew
    * with each incarnation, so an acknowledgement must not reach a later one.
    */
   private static final long MAX_ACKNOWLEDGEMENT_AGE_MILLIS = 500;
 
-  /** Time after the computed end of a lease in which the worker is still killing its runs. */
-  private static final long LAPSE_MARGIN_MILLIS = 500;
-
   /** Pause of new starts after a worker was unhealthy or unreachable. */
   private static final long UNHEALTHY_PAUSE_MILLIS = 1_000;
 
@@ -82,8 +74,8 @@
   /** Clock and timers; callbacks run on the scheduling thread. */
   private final TimerService timer;
 
-  /** Length of the worker's lease, and the maximum that workers grant. */
-  private final LeaseTerms lease;
+  /** When the worker's lease may end. */
+  private final LeaseBound lease;
 
   /** Latest directory entry of the worker, with the incarnation that the latest report told. */
   private WorkerEntry entry;
@@ -97,18 +89,6 @@
   /** Total demand of these runs. */
   private Resources used = Resources.NONE;
 
-  /** Clock of the worker in its latest report, in milliseconds. */
-  private long clockMillis;
-
-  /** Monotonic time of the latest report in milliseconds; negative before the first one. */
-  private long reportedMillis = -1;
-
-  /** Latest lease end that was ever sent, on the worker's clock. */
-  private long leaseEndMillis;
-
-  /** Monotonic time at which the latest restart was noticed; negative before the first one. */
-  private long restartedMillis = -1;
-
   /** Monotonic time since which the present incarnation is known, in milliseconds. */
   private long incarnationSinceMillis;
 
@@ -146,13 +126,13 @@
       Reservations reservations,
       WorkerClient client,
       TimerService timer,
-      LeaseTerms lease) {
+      LeaseTerms terms) {
     this.entry = entry;
     this.callbacks = callbacks;
     this.reservations = reservations;
     this.client = client;
     this.timer = timer;
-    this.lease = lease;
+    lease = new LeaseBound(terms);
     describedIncarnation = entry.incarnation();
     history = new WorkerHistory(entry.id());
     incarnationSinceMillis = timer.monotonicMillis();
@@ -184,7 +164,7 @@
   }
 
   boolean hasReported() {
-    return reportedMillis >= 0;
+    return lease.hasReported();
   }
 
   /** Returns whether all runs of former leaders on the worker are known. */
@@ -306,8 +286,7 @@
     if (checkpoint.isEmpty()) {
       run.markMeasured();
     }
-    long end = leaseTarget();
-    leaseEndMillis = Math.max(leaseEndMillis, end);
+    long end = lease.request(timer.monotonicMillis());
     StartCommand command =
         new StartCommand(run.task(), run.number(), payload, end, checkpoint, ticket);
     sendStart(run, new StartAttempt(command, 1, entry.incarnation()));
@@ -324,21 +303,20 @@
 
   /** Drops all runs if the lease has certainly lapsed. */
   void checkLeaseLapse(long nowMillis) {
-    boolean known = hasReported() || restartedMillis >= 0;
     boolean silent = missedReports > 0 || !hasReported();
-    if (!known || !silent || !isRecorded() || nowMillis <= lapseMillis()) {
+    if (!silent || !isRecorded() || !lease.hasLapsed(nowMillis)) {
       return;
     }
     LOG.atInfo().log(
-        "workers: lease lapsed worker=%s runs=%d silent_ms=%d",
-        id(), runs.size(), nowMillis - Math.max(reportedMillis, restartedMillis));
+        "workers: lease lapsed worker=%s runs=%d silent_ms=%d %s",
+        id(), runs.size(), lease.silentMillis(nowMillis), lease);
     dropAllRuns();
-    callbacks.leaseLapsed(this);
+    callbacks.leaseLapsed(this, lease.basis());
   }
 
   /** Counts a failed or completed run, to pause workers on which every run fails. */
   void countRunResult(boolean failed) {
-    if (history.countResult(failed, clockMillis)) {
+    if (history.countResult(failed, lease.clockMillis())) {
       pause(FAILURE_PAUSE_MILLIS);
       LOG.atInfo().log("workers: paused after failures worker=%s", id());
     }
@@ -348,19 +326,6 @@
     return callbacks.isRecorded(this);
   }
 
-  private long lapseMillis() {
-    if (!hasReported()) {
-      // A start that reached the new incarnation was granted at most the longest lease.
-      return restartedMillis + (long) (lease.maxMillis() / MIN_CLOCK_RATE) + LAPSE_MARGIN_MILLIS;
-    }
-    double left = Math.max(0, leaseEndMillis - clockMillis) / MIN_CLOCK_RATE;
-    return reportedMillis + (long) left + LAPSE_MARGIN_MILLIS;
-  }
-
-  private long leaseTarget() {
-    return clockMillis + (timer.monotonicMillis() - reportedMillis) + lease.lengthMillis();
-  }
-
   private void pause(long millis) {
     pausedUntilMillis = timer.monotonicMillis() + millis;
     timer.after(Duration.ofMillis(millis), callbacks::capacityChanged);
@@ -463,11 +428,10 @@
     }
     reportPending = true;
     boolean trusted = hasReported() && missedReports == 0 && isRecorded();
-    OptionalLong end = trusted ? OptionalLong.of(leaseTarget()) : OptionalLong.empty();
-    end.ifPresent(millis -> leaseEndMillis = Math.max(leaseEndMillis, millis));
     long sent = timer.monotonicMillis();
+    OptionalLong end = trusted ? OptionalLong.of(lease.request(sent)) : OptionalLong.empty();
     long wait = trusted ? REPORT_WAIT_MILLIS : 0;
-    boolean recent = sent - reportedMillis <= MAX_ACKNOWLEDGEMENT_AGE_MILLIS;
+    boolean recent = sent - lease.reportedMillis() <= MAX_ACKNOWLEDGEMENT_AGE_MILLIS;
     client.renew(
         entry,
         new WorkerClient.Renewal(end, trusted && recent ? acknowledgedEnd : 0, wait),
@@ -515,12 +479,8 @@
     if (report.incarnation() != 0 && report.incarnation() != entry.incarnation()) {
       changeIncarnation(report.incarnation());
     }
-    if (!hasReported()) {
-      LOG.atInfo().log(
-          "workers: first report worker=%s born=%d running=%d ended=%d",
-          id(), report.incarnation(), report.running().size(), report.ended().size());
-    }
-    boolean wasUsable = hasReported() && missedReports == 0;
+    boolean first = !hasReported();
+    boolean wasUsable = !first && missedReports == 0;
     if (missedReports > 0) {
       LOG.atInfo().log("workers: reports again worker=%s misses=%d", id(), missedReports);
     }
@@ -528,12 +488,12 @@
       callbacks.unrecordedWorkerReported(this);
     }
     missedReports = 0;
-    clockMillis = report.clockMillis();
-    if (!hasReported() && restartedMillis >= 0) {
-      // A lease end on the former incarnation's clock gives the new one the longest lease.
-      leaseEndMillis = clockMillis + lease.maxMillis();
+    lease.reported(timer.monotonicMillis(), report.clockMillis());
+    if (first) {
+      LOG.atInfo().log(
+          "workers: first report worker=%s born=%d running=%d ended=%d %s",
+          id(), report.incarnation(), report.running().size(), report.ended().size(), lease);
     }
-    reportedMillis = timer.monotonicMillis();
     processEnds(report.ended());
     processRunning(report.running());
     if (report.complete()) {
@@ -612,11 +572,11 @@
   /** Stops a stalled run, so that it restarts elsewhere, and pauses new starts on this worker. */
   private void checkProgress(TaskRun run, CurrentRun reported) {
     boolean progressedBefore = run.hasProgressed();
-    long still = run.updateProgress(reported, clockMillis, timer.monotonicMillis());
+    long still = run.updateProgress(reported, lease.clockMillis(), timer.monotonicMillis());
     if (run.hasProgressed() && !progressedBefore) {
       callbacks.progressed(run);
     }
-    history.update(run, clockMillis);
+    history.update(run, lease.clockMillis());
     if (still > run.stallTimeoutMillis() && callbacks.isStalled(this, run)) {
       pause(FAILURE_PAUSE_MILLIS);
       stop(run.task(), run.number());
@@ -643,13 +603,10 @@
     // Commands reach whichever incarnation is up, so the runs are kept until a report of the new
     // one shows whether it has them.
     LOG.atInfo().log("workers: restarted worker=%s runs=%d", id(), runs.size());
-    restartedMillis = timer.monotonicMillis();
-    incarnationSinceMillis = restartedMillis;
+    incarnationSinceMillis = timer.monotonicMillis();
+    lease.restarted(incarnationSinceMillis);
     processedEnd = 0;
     acknowledgedEnd = 0;
-    leaseEndMillis = 0;
-    reportedMillis = -1;
-    clockMillis = 0;
     history.reset();
     pausedUntilMillis = 0;
   }
