Assume the longest lease at a leader's first report of a worker

Callers saw a task run twice at the same time: after a restart of workers under their identifiers, a change of leader and a cut of these workers, the new leader started their tasks elsewhere 1.2 s before the leases ended.

Cause: a call with a lease end on the clock of a worker's former incarnation gives the present one the longest lease. A leader allowed for that only if it had seen the restart itself. Its successor, or a session opened anew, computed the end from its own first renewal, which shortens nothing.

What any leader may have asked for is bounded by the worker itself: at a report no lease can end later than the longest one from then. The bound starts there, whether or not a restart was seen. Later lease ends of the same leader raise it as before.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/LeaseBound.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/LeaseBound.java
@@ -46,16 +46,15 @@
     restartedMillis = nowMillis;
     reportedMillis = -1;
     clockMillis = 0;
-    endMillis = 0;
     basis = Basis.LONGEST;
   }
 
   /** Takes over the clock of a report that was received now. */
   void reported(long nowMillis, long clock) {
     if (!hasReported()) {
-      // A lease end on the former incarnation's clock gives the new one the longest lease.
-      endMillis = restartedMillis >= 0 ? clock + terms.maxMillis() : endMillis;
-      basis = restartedMillis >= 0 ? Basis.LONGEST : Basis.REQUESTED;
+      // A former leader, or this one before it noticed a restart, may have sent a lease end on the
+      // clock of a former incarnation. It gives the present one the longest lease.
+      endMillis = clock + terms.maxMillis();
     }
     clockMillis = clock;
     reportedMillis = nowMillis;
