Fence the calls for former incarnations of a worker

Callers could see a task run twice, or again after its end, when a worker carried out a call seconds late and had restarted in between: a renewal gave it a lease that the leader didn't know of, a copy of a start command ran a task that had ended, an acknowledgement dropped the end of another run.

Cause: a fencing token named the leader's term only, and a worker that is back under its identifier knows no token at all. Calls for its former incarnation and for the present one looked alike to it.

Each session and each restart of a worker now gets a fence, higher than all before it in the term; the token is the epoch, then the fence. Once the present incarnation has executed one call, it rejects the earlier ones, so LeaseBound takes the longest lease from the first report that was requested with the present fence. A rejection of a call with a former fence does not end the term.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/LeaseBound.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/LeaseBound.java
@@ -25,6 +25,9 @@
   /** Monotonic time at which the latest restart was noticed; negative before the first one. */
   private long restartedMillis = -1;
 
+  /** Whether the present incarnation rejects calls for former ones, by its reports. */
+  private boolean fenced;
+
   /** What {@link #endMillis} was computed from. */
   private Basis basis = Basis.LONGEST;
 
@@ -46,15 +49,24 @@
     restartedMillis = nowMillis;
     reportedMillis = -1;
     clockMillis = 0;
+    fenced = false;
     basis = Basis.LONGEST;
   }
 
-  /** Takes over the clock of a report that was received now. */
-  void reported(long nowMillis, long clock) {
-    if (!hasReported()) {
+  /**
+   * Takes over the clock of a report that was received now.
+   *
+   * @param nowMillis monotonic time in milliseconds
+   * @param clock worker's clock in the report, in milliseconds
+   * @param current whether the report was requested with the fence of the present incarnation
+   */
+  void reported(long nowMillis, long clock, boolean current) {
+    if (!fenced) {
       // A former leader, or this one before it noticed a restart, may have sent a lease end on the
       // clock of a former incarnation. It gives the present one the longest lease.
       endMillis = clock + terms.maxMillis();
+      basis = Basis.LONGEST;
+      fenced = current;
     }
     clockMillis = clock;
     reportedMillis = nowMillis;
--- a/coordination/src/main/java/org/vanillacove/coordination/work/SessionListener.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/SessionListener.java
@@ -18,6 +18,9 @@
    */
   record FoundRun(Resources demand, long stallTimeoutMillis, boolean wanted) {}
 
+  /** Returns a fence that is higher than all that the leader has used before. */
+  int nextFence();
+
   /** Returns whether leases may be renewed and commands sent. */
   boolean mayCommand();
 
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -116,6 +116,9 @@
   /** Whether commands may be sent, by the last check of the leadership. */
   private final CommandPermission permission;
 
+  /** Last fence of a worker session. */
+  private int lastFence;
+
   /** Whether the term has ended; no command or record is sent after that. */
   private boolean closed;
 
@@ -589,6 +592,12 @@
 
   /** Applies the events of worker sessions to the jobs. */
   private final class SessionCallbacks implements SessionListener {
+    @Override
+    public int nextFence() {
+      lastFence++;
+      return lastFence;
+    }
+
     @Override
     public boolean mayCommand() {
       return WorkCell.this.mayCommand();
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -17,6 +17,7 @@
 import org.vanillacove.coordination.work.api.WorkerClient.CommandOutcome;
 import org.vanillacove.coordination.work.api.WorkerClient.CurrentRun;
 import org.vanillacove.coordination.work.api.WorkerClient.EndedRun;
+import org.vanillacove.coordination.work.api.WorkerClient.Recipient;
 import org.vanillacove.coordination.work.api.WorkerClient.Refusal;
 import org.vanillacove.coordination.work.api.WorkerClient.RenewalOutcome;
 import org.vanillacove.coordination.work.api.WorkerClient.Report;
@@ -80,6 +81,9 @@
   /** Latest directory entry of the worker, with the incarnation that the latest report told. */
   private WorkerEntry entry;
 
+  /** Fence of the calls to the present incarnation. */
+  private int fence;
+
   /** Incarnation whose capacity, labels, service and address the entry tells. */
   private long describedIncarnation;
 
@@ -134,6 +138,7 @@
     this.timer = timer;
     lease = new LeaseBound(terms);
     describedIncarnation = entry.incarnation();
+    fence = callbacks.nextFence();
     history = new WorkerHistory(entry.id());
     incarnationSinceMillis = timer.monotonicMillis();
   }
@@ -143,9 +148,17 @@
    *
    * @param command command that is sent
    * @param number number of the try, from 1
-   * @param incarnation incarnation of the worker for which the command was made
+   * @param fence fence of the worker's incarnation for which the command was made
    */
-  private record StartAttempt(StartCommand command, int number, long incarnation) {}
+  private record StartAttempt(StartCommand command, int number, int fence) {}
+
+  /**
+   * A request for a report.
+   *
+   * @param sentMillis monotonic time at which it was sent, in milliseconds
+   * @param fence fence with which it was sent
+   */
+  private record ReportRequest(long sentMillis, int fence) {}
 
   void open() {
     requestReport();
@@ -289,7 +302,7 @@
     long end = lease.request(timer.monotonicMillis());
     StartCommand command =
         new StartCommand(run.task(), run.number(), payload, end, checkpoint, ticket);
-    sendStart(run, new StartAttempt(command, 1, entry.incarnation()));
+    sendStart(run, new StartAttempt(command, 1, fence));
   }
 
   /** Stops the run of {@code task} if it uses capacity of this worker. */
@@ -326,13 +339,17 @@
     return callbacks.isRecorded(this);
   }
 
+  private Recipient recipient() {
+    return new Recipient(entry, fence);
+  }
+
   private void pause(long millis) {
     pausedUntilMillis = timer.monotonicMillis() + millis;
     timer.after(Duration.ofMillis(millis), callbacks::capacityChanged);
   }
 
   private void sendStart(TaskRun run, StartAttempt attempt) {
-    client.start(entry, attempt.command(), outcome -> startAnswered(run, attempt, outcome));
+    client.start(recipient(), attempt.command(), outcome -> startAnswered(run, attempt, outcome));
   }
 
   private void startAnswered(TaskRun run, StartAttempt attempt, CommandOutcome outcome) {
@@ -345,7 +362,7 @@
         callbacks.started(this, run);
       }
       case CommandOutcome.Refused refused when attempt.number() == 1 ->
-          startRefused(run, refused.refusal());
+          startRefused(run, attempt, refused.refusal());
       case CommandOutcome.Refused refused -> {
         // An earlier attempt may have been executed, so this refusal doesn't show that no run
         // exists.
@@ -372,20 +389,19 @@
     if (closed || runs.get(run.key()) != run || run.phase() != TaskRun.Phase.ORDERED) {
       return;
     }
-    if (attempt.incarnation() != entry.incarnation()) {
+    if (attempt.fence() != fence) {
       // The lease end in the command is a time on the clock of the former incarnation.
       giveUpStart(run);
     } else if (callbacks.mayCommand()) {
-      sendStart(
-          run, new StartAttempt(attempt.command(), attempt.number() + 1, attempt.incarnation()));
+      sendStart(run, new StartAttempt(attempt.command(), attempt.number() + 1, fence));
     } else {
       timer.after(COMMAND_RETRY_DELAY, () -> startAgain(run, attempt));
     }
   }
 
-  private void startRefused(TaskRun run, Refusal refusal) {
+  private void startRefused(TaskRun run, StartAttempt attempt, Refusal refusal) {
     remove(run);
-    if (refusal == Refusal.FENCED) {
+    if (refusal == Refusal.FENCED && attempt.fence() == fence) {
       callbacks.fenced();
       return;
     }
@@ -405,16 +421,19 @@
       timer.after(COMMAND_RETRY_DELAY, () -> sendStop(run));
       return;
     }
-    client.stop(entry, run.task(), run.number(), outcome -> stopAnswered(run, outcome));
+    int sentFence = fence;
+    client.stop(
+        recipient(), run.task(), run.number(), outcome -> stopAnswered(run, sentFence, outcome));
   }
 
-  private void stopAnswered(TaskRun run, CommandOutcome outcome) {
+  private void stopAnswered(TaskRun run, int sentFence, CommandOutcome outcome) {
     if (closed || runs.get(run.key()) != run) {
       return;
     }
     switch (outcome) {
       case CommandOutcome.Done done -> run.markStopAnswered(timer.monotonicMillis());
-      case CommandOutcome.Refused refused when refused.refusal() == Refusal.FENCED ->
+      case CommandOutcome.Refused refused
+          when refused.refusal() == Refusal.FENCED && sentFence == fence ->
           callbacks.fenced();
       case CommandOutcome.Refused refused -> timer.after(COMMAND_RETRY_DELAY, () -> sendStop(run));
       case CommandOutcome.Unknown unknown -> timer.after(COMMAND_RETRY_DELAY, () -> sendStop(run));
@@ -432,10 +451,11 @@
     OptionalLong end = trusted ? OptionalLong.of(lease.request(sent)) : OptionalLong.empty();
     long wait = trusted ? REPORT_WAIT_MILLIS : 0;
     boolean recent = sent - lease.reportedMillis() <= MAX_ACKNOWLEDGEMENT_AGE_MILLIS;
+    ReportRequest request = new ReportRequest(sent, fence);
     client.renew(
-        entry,
+        recipient(),
         new WorkerClient.Renewal(end, trusted && recent ? acknowledgedEnd : 0, wait),
-        outcome -> reported(sent, outcome));
+        outcome -> reported(request, outcome));
   }
 
   private void scheduleReport(Duration pause) {
@@ -444,18 +464,21 @@
     }
   }
 
-  private void reported(long sent, RenewalOutcome outcome) {
+  private void reported(ReportRequest request, RenewalOutcome outcome) {
     reportPending = false;
     if (closed) {
       return;
     }
     switch (outcome) {
       case RenewalOutcome.Reported reported -> {
-        long elapsed = timer.monotonicMillis() - sent;
+        long elapsed = timer.monotonicMillis() - request.sentMillis();
         // Scheduled first, so that an error in a report does not end the reports.
         scheduleReport(Duration.ofMillis(Math.max(0, MIN_REPORT_INTERVAL_MILLIS - elapsed)));
-        processReport(sent, reported.report());
+        processReport(request, reported.report());
       }
+      case RenewalOutcome.Fenced fenced when request.fence() != fence ->
+          // A call with the present fence came first; this one was meant for a former incarnation.
+          scheduleReport(MISSED_REPORT_DELAY);
       case RenewalOutcome.Fenced fenced -> {
         LOG.atInfo().log("workers: follows a newer leader worker=%s", id());
         callbacks.fenced();
@@ -472,7 +495,8 @@
     scheduleReport(MISSED_REPORT_DELAY);
   }
 
-  private void processReport(long sent, Report report) {
+  private void processReport(ReportRequest request, Report report) {
+    long sent = request.sentMillis();
     if (isFromFormerIncarnation(sent, report)) {
       return;
     }
@@ -488,7 +512,7 @@
       callbacks.unrecordedWorkerReported(this);
     }
     missedReports = 0;
-    lease.reported(timer.monotonicMillis(), report.clockMillis());
+    lease.reported(timer.monotonicMillis(), report.clockMillis(), request.fence() == fence);
     if (first) {
       LOG.atInfo().log(
           "workers: first report worker=%s born=%d running=%d ended=%d %s",
@@ -603,6 +627,7 @@
     // Commands reach whichever incarnation is up, so the runs are kept until a report of the new
     // one shows whether it has them.
     LOG.atInfo().log("workers: restarted worker=%s runs=%d", id(), runs.size());
+    fence = callbacks.nextFence();
     incarnationSinceMillis = timer.monotonicMillis();
     lease.restarted(incarnationSinceMillis);
     processedEnd = 0;
--- a/coordination/src/main/java/org/vanillacove/coordination/work/api/WorkerClient.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/api/WorkerClient.java
@@ -10,17 +10,27 @@
   /**
    * Renews the lease of all runs of a worker, acknowledges ends and lists its runs.
    *
-   * @param worker worker to call
+   * @param worker worker to call, and the fence of the call
    * @param call lease end, acknowledgement and wait time
    * @param done called with the outcome
    */
-  void renew(WorkerEntry worker, Renewal call, Consumer<RenewalOutcome> done);
+  void renew(Recipient worker, Renewal call, Consumer<RenewalOutcome> done);
 
   /** Starts a run; repeating the command for the same run has no effect. */
-  void start(WorkerEntry worker, StartCommand command, Consumer<CommandOutcome> done);
+  void start(Recipient worker, StartCommand command, Consumer<CommandOutcome> done);
 
   /** Stops a run; if it hasn't started yet, the worker refuses its start command later. */
-  void stop(WorkerEntry worker, TaskName task, int run, Consumer<CommandOutcome> done);
+  void stop(Recipient worker, TaskName task, int run, Consumer<CommandOutcome> done);
+
+  /**
+   * Worker that a call is meant for. The identifier of a worker doesn't tell its incarnations
+   * apart; the fence does, once the present incarnation has executed a call with it.
+   *
+   * @param entry directory entry of the worker
+   * @param fence number within the leader's term; the worker rejects calls with a lower one than it
+   *     has seen
+   */
+  record Recipient(WorkerEntry entry, int fence) {}
 
   /**
    * Parameters of a renewal.
@@ -112,7 +122,7 @@
      */
     record Reported(Report report) implements RenewalOutcome {}
 
-    /** The worker follows a newer leader. */
+    /** The worker has seen a higher fence or follows a newer leader; it did nothing. */
     record Fenced() implements RenewalOutcome {}
 
     /** There was no usable response; the lease may have been renewed. */
@@ -141,7 +151,7 @@
 
   /** Reason why a worker refused a command. */
   enum Refusal {
-    /** A newer leader has sent commands. */
+    /** The worker has seen a higher fence or follows a newer leader. */
     FENCED,
     /** The run number isn't higher than one known to the worker. */
     OLD_RUN,
--- a/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
@@ -101,7 +101,7 @@
   /** State of one fake worker. */
   private static final class Worker {
     private WorkerEntry entry;
-    private long highestEpoch;
+    private long highestFence;
     private long leaseEndMillis;
     private long bornMillis;
     private long lastEndNumber;
@@ -114,6 +114,8 @@
     private boolean startsUnanswered;
     private boolean startAnswersLost;
     private int startsToDelay;
+    private boolean callsHeld;
+    private final List<Runnable> heldCalls = new ArrayList<>();
     private boolean hanging;
     private double speed = 1;
     private Duration reportDelay = Duration.ZERO;
@@ -189,6 +191,23 @@
     workers.get(id).startsToDelay = count;
   }
 
+  /** Keeps back all calls to a worker, whose callers get no answer, or ends that. */
+  void holdCalls(String id, boolean held) {
+    workers.get(id).callsHeld = held;
+  }
+
+  /** Carries out the calls that were kept back, whichever incarnation of the worker is up. */
+  void releaseHeldCalls(String id) {
+    Worker worker = workers.get(id);
+    List.copyOf(worker.heldCalls).forEach(Runnable::run);
+    worker.heldCalls.clear();
+  }
+
+  /** Returns the number of ends on a worker that were not acknowledged. */
+  int unacknowledgedEnds(String id) {
+    return workers.get(id).ended.size();
+  }
+
   /** Lets a worker report the end of a run that it executed for a former leader. */
   void addEnd(String id, TaskName task, int run, WorkerClient.EndCause cause) {
     Worker worker = workers.get(id);
@@ -236,7 +255,7 @@
     worker.runs.clear();
     worker.ended.clear();
     worker.highestEndedRun.clear();
-    worker.highestEpoch = 0;
+    worker.highestFence = 0;
     worker.lastEndNumber = 0;
     worker.leaseEndMillis = 0;
     worker.bornMillis = timer.monotonicMillis();
@@ -511,11 +530,14 @@
     }
 
     @Override
-    public void renew(WorkerEntry entry, Renewal call, Consumer<RenewalOutcome> done) {
-      Worker worker = workers.get(entry.id());
+    public void renew(Recipient recipient, Renewal call, Consumer<RenewalOutcome> done) {
+      Worker worker = workers.get(recipient.entry().id());
       worker.reportRequests++;
       renewals += call.leaseEndMillis().isPresent() ? 1 : 0;
-      if (worker.disconnected) {
+      if (worker.callsHeld) {
+        worker.heldCalls.add(() -> report(worker, recipient, call));
+      }
+      if (worker.disconnected || worker.callsHeld) {
         timer.after(TIMEOUT, () -> done.accept(new RenewalOutcome.NoResponse()));
         return;
       }
@@ -529,7 +551,9 @@
               return;
             }
             RenewalOutcome outcome =
-                worker.disconnected ? new RenewalOutcome.NoResponse() : report(worker, call);
+                worker.disconnected
+                    ? new RenewalOutcome.NoResponse()
+                    : report(worker, recipient, call);
             if (worker.reportDelay.isZero()) {
               done.accept(outcome);
             } else {
@@ -539,34 +563,42 @@
     }
 
     @Override
-    public void start(WorkerEntry entry, StartCommand command, Consumer<CommandOutcome> done) {
-      if (workers.get(entry.id()).startsUnanswered) {
+    public void start(Recipient recipient, StartCommand command, Consumer<CommandOutcome> done) {
+      if (workers.get(recipient.entry().id()).startsUnanswered) {
         timer.after(TIMEOUT, () -> done.accept(new CommandOutcome.Unknown()));
         return;
       }
-      if (workers.get(entry.id()).startsToDelay > 0) {
-        workers.get(entry.id()).startsToDelay--;
-        Worker worker = workers.get(entry.id());
-        executeLate(worker, LATE_START, () -> startNow(worker, command));
+      if (workers.get(recipient.entry().id()).startsToDelay > 0) {
+        workers.get(recipient.entry().id()).startsToDelay--;
+        Worker worker = workers.get(recipient.entry().id());
+        executeLate(worker, LATE_START, () -> startNow(worker, recipient, command));
         timer.after(TIMEOUT, () -> done.accept(new CommandOutcome.Unknown()));
         return;
       }
-      if (workers.get(entry.id()).startAnswersLost) {
-        timer.after(RESPONSE_TIME, () -> startNow(workers.get(entry.id()), command));
+      if (workers.get(recipient.entry().id()).startAnswersLost) {
+        timer.after(
+            RESPONSE_TIME, () -> startNow(workers.get(recipient.entry().id()), recipient, command));
         timer.after(TIMEOUT, () -> done.accept(new CommandOutcome.Unknown()));
         return;
       }
-      deliver(entry, () -> startNow(workers.get(entry.id()), command), done);
+      deliver(
+          recipient, () -> startNow(workers.get(recipient.entry().id()), recipient, command), done);
     }
 
     @Override
-    public void stop(WorkerEntry entry, TaskName task, int run, Consumer<CommandOutcome> done) {
-      deliver(entry, () -> stopNow(workers.get(entry.id()), task, run), done);
+    public void stop(Recipient recipient, TaskName task, int run, Consumer<CommandOutcome> done) {
+      deliver(
+          recipient,
+          () -> stopNow(workers.get(recipient.entry().id()), recipient, task, run),
+          done);
     }
 
-    private void deliver(WorkerEntry entry, Action action, Consumer<CommandOutcome> done) {
-      Worker worker = workers.get(entry.id());
-      if (worker.disconnected) {
+    private void deliver(Recipient recipient, Action action, Consumer<CommandOutcome> done) {
+      Worker worker = workers.get(recipient.entry().id());
+      if (worker.callsHeld) {
+        worker.heldCalls.add(action::run);
+      }
+      if (worker.disconnected || worker.callsHeld) {
         timer.after(TIMEOUT, () -> done.accept(new CommandOutcome.Unknown()));
       } else if (worker.commandsDelayed && random.nextBoolean()) {
         executeLate(worker, Duration.ofMillis(2_000 + random.nextInt(6_000)), action);
@@ -588,11 +620,18 @@
           });
     }
 
-    private RenewalOutcome report(Worker worker, Renewal call) {
-      if (epoch < worker.highestEpoch) {
+    /** Returns whether the worker has seen a higher fence, and remembers this one otherwise. */
+    private boolean isFenced(Worker worker, Recipient recipient) {
+      long fence = epoch << Integer.SIZE | recipient.fence();
+      boolean fenced = fence < worker.highestFence;
+      worker.highestFence = Math.max(fence, worker.highestFence);
+      return fenced;
+    }
+
+    private RenewalOutcome report(Worker worker, Recipient recipient, Renewal call) {
+      if (isFenced(worker, recipient)) {
         return new RenewalOutcome.Fenced();
       }
-      worker.highestEpoch = epoch;
       call.leaseEndMillis().ifPresent(end -> extendLease(worker, end));
       acknowledge(worker, call.acknowledgedEnd());
       List<CurrentRun> running =
@@ -623,11 +662,10 @@
       }
     }
 
-    private CommandOutcome startNow(Worker worker, StartCommand command) {
-      if (epoch < worker.highestEpoch) {
+    private CommandOutcome startNow(Worker worker, Recipient recipient, StartCommand command) {
+      if (isFenced(worker, recipient)) {
         return new CommandOutcome.Refused(Refusal.FENCED);
       }
-      worker.highestEpoch = epoch;
       extendLease(worker, command.leaseEndMillis());
       if (worker.runs.containsKey(key(command.task(), command.run()))) {
         return new CommandOutcome.Done(clock(worker));
@@ -654,8 +692,8 @@
       return new CommandOutcome.Done(clock(worker));
     }
 
-    private CommandOutcome stopNow(Worker worker, TaskName task, int run) {
-      if (epoch < worker.highestEpoch) {
+    private CommandOutcome stopNow(Worker worker, Recipient recipient, TaskName task, int run) {
+      if (isFenced(worker, recipient)) {
         return new CommandOutcome.Refused(Refusal.FENCED);
       }
       worker.highestEndedRun.merge(task, run, Math::max);
