Infer absent runs only from reports under the present fence

A task could start again while a worker still got its first start: a worker restarts, and the report that reveals it was requested with the former fence. The leader took its runs for gone at once, but a late copy of their start commands was not rejected until the next request.

A run that is missing in a report counts as gone, and the runs of former leaders as known, only if the report was requested with the fence of the present incarnation, at the latest one request later.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -512,7 +512,8 @@
       callbacks.unrecordedWorkerReported(this);
     }
     missedReports = 0;
-    lease.reported(timer.monotonicMillis(), report.clockMillis(), request.fence() == fence);
+    boolean current = request.fence() == fence;
+    lease.reported(timer.monotonicMillis(), report.clockMillis(), current);
     if (first) {
       LOG.atInfo().log(
           "workers: first report worker=%s born=%d running=%d ended=%d %s",
@@ -520,11 +521,13 @@
     }
     processEnds(report.ended());
     processRunning(report.running());
-    if (report.complete()) {
+    // A call for a former incarnation may still start a run until this fence has been seen.
+    boolean complete = report.complete() && current;
+    if (complete) {
       processAbsentRuns(sent, report.running());
     }
     boolean knownBefore = runsKnown;
-    runsKnown |= report.complete();
+    runsKnown |= complete;
     if (!wasUsable || !report.ended().isEmpty() || runsKnown != knownBefore) {
       callbacks.capacityChanged();
     }
--- a/coordination/src/test/java/org/vanillacove/coordination/work/LateCallOfFormerIncarnationTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/LateCallOfFormerIncarnationTest.java
@@ -60,6 +60,27 @@
     assertThat(fixture.workers.violations()).isEmpty();
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {50, 70, 100})
+  void absenceIsNoEvidenceBeforeLateCallsAreRejected(long lateBy) {
+    startLeaderOfLongLivedWorkers();
+    fixture.workers.holdCalls("w0", true);
+    submit(ID, 5_000);
+    fixture.timer.advance(30);
+    fixture.workers.holdCalls("w0", false);
+    fixture.run(1_500);
+    assertThat(fixture.workers.running("w0")).isPositive();
+    fixture.workers.crash("w0");
+    awaitReportRequest();
+    fixture.timer.advance(lateBy);
+
+    fixture.workers.releaseHeldCalls("w0");
+    fixture.run(20_000);
+
+    assertThat(fixture.workers.violations()).isEmpty();
+    assertThat(fixture.cell().findJob(ID)).contains(JobView.COMPLETED);
+  }
+
   @ParameterizedTest
   @ValueSource(longs = {1_000, 3_000, 10_000})
   void lateAcknowledgementDoesNotDropAnEnd(long lateBy) {
@@ -88,6 +109,16 @@
     fixture.run(30_000);
   }
 
+  /** Lets time pass until the next report is requested, without a look at the directory. */
+  private void awaitReportRequest() {
+    int before = fixture.workers.reportRequests("w0");
+    for (int i = 0; i < 1_000 && fixture.workers.reportRequests("w0") == before; i++) {
+      fixture.cell().setCommandsAllowed(true);
+      fixture.timer.advance(5);
+    }
+    assertThat(fixture.workers.reportRequests("w0")).isGreaterThan(before);
+  }
+
   /** Lets time pass until a run on the worker ends. */
   private void awaitEnd() {
     for (int i = 0; i < 1_000 && fixture.workers.unacknowledgedEnds("w0") == 0; i++) {
