Test that rejected calls for former incarnations don't end the term

A leader whose call is rejected by a worker that has seen a higher fence of its own must not take that for a newer leader, and a worker that leaves the directory and returns must accept the calls of its later session.

--- a/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
@@ -42,6 +42,9 @@
   /** Organisations of the configuration that each leader reads. */
   private OrganisationTable organisations = OrganisationTable.NONE;
 
+  /** Number of times that a leader was told of a newer one. */
+  private int fencedCalls;
+
   private long epoch;
   private WorkCell cell;
 
@@ -90,7 +93,7 @@
                 new LeaseTerms(LEASE_MILLIS, maxLeaseMillis),
                 FakeWorkers.GANG_WAIT_MILLIS,
                 STATUS_MILLIS,
-                () -> {},
+                () -> fencedCalls++,
                 metrics),
             timer,
             store.open(epoch),
@@ -140,6 +143,10 @@
     cell.updateDirectory(workers.directory());
   }
 
+  int fencedCalls() {
+    return fencedCalls;
+  }
+
   WorkCell cell() {
     return cell;
   }
--- a/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
@@ -12,7 +12,9 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.vanillacove.coordination.work.api.TaskName;
 import org.vanillacove.coordination.work.api.WorkerClient;
 import org.vanillacove.coordination.work.api.WorkerEntry;
@@ -191,7 +193,7 @@
     workers.get(id).startsToDelay = count;
   }
 
-  /** Keeps back all calls to a worker, whose callers get no answer, or ends that. */
+  /** Keeps back all calls to a worker, which time out unless they are released, or ends that. */
   void holdCalls(String id, boolean held) {
     workers.get(id).callsHeld = held;
   }
@@ -535,9 +537,10 @@
       worker.reportRequests++;
       renewals += call.leaseEndMillis().isPresent() ? 1 : 0;
       if (worker.callsHeld) {
-        worker.heldCalls.add(() -> report(worker, recipient, call));
+        hold(worker, () -> report(worker, recipient, call), new RenewalOutcome.NoResponse(), done);
+        return;
       }
-      if (worker.disconnected || worker.callsHeld) {
+      if (worker.disconnected) {
         timer.after(TIMEOUT, () -> done.accept(new RenewalOutcome.NoResponse()));
         return;
       }
@@ -596,9 +599,8 @@
     private void deliver(Recipient recipient, Action action, Consumer<CommandOutcome> done) {
       Worker worker = workers.get(recipient.entry().id());
       if (worker.callsHeld) {
-        worker.heldCalls.add(action::run);
-      }
-      if (worker.disconnected || worker.callsHeld) {
+        hold(worker, action::run, new CommandOutcome.Unknown(), done);
+      } else if (worker.disconnected) {
         timer.after(TIMEOUT, () -> done.accept(new CommandOutcome.Unknown()));
       } else if (worker.commandsDelayed && random.nextBoolean()) {
         executeLate(worker, Duration.ofMillis(2_000 + random.nextInt(6_000)), action);
@@ -608,6 +610,19 @@
       }
     }
 
+    /** Keeps a call back; its caller gets the outcome if the call is released in time. */
+    private <T> void hold(Worker worker, Supplier<T> call, T noAnswer, Consumer<T> done) {
+      AtomicBoolean answered = new AtomicBoolean();
+      Consumer<T> once =
+          outcome -> {
+            if (answered.compareAndSet(false, true)) {
+              done.accept(outcome);
+            }
+          };
+      worker.heldCalls.add(() -> once.accept(call.get()));
+      timer.after(TIMEOUT, () -> once.accept(noAnswer));
+    }
+
     /** Executes a command that the present incarnation received, unless that one ends before. */
     private void executeLate(Worker worker, Duration delay, Action action) {
       long incarnation = worker.entry.incarnation();
--- a/coordination/src/test/java/org/vanillacove/coordination/work/LateCallOfFormerIncarnationTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/LateCallOfFormerIncarnationTest.java
@@ -103,6 +103,48 @@
     assertThat(fixture.cell().findJob(ID)).contains(JobView.COMPLETED);
   }
 
+  @ParameterizedTest
+  @ValueSource(longs = {100, 200, 300, 400})
+  void rejectionOfLateCallDoesNotEndTheTerm(long lateBy) {
+    startLeaderOfLongLivedWorkers();
+    awaitReportRequest();
+    fixture.timer.advance(50);
+    fixture.workers.holdCalls("w0", true);
+    submit(ID, 5_000);
+    fixture.timer.advance(30);
+    fixture.workers.holdCalls("w0", false);
+    fixture.workers.crash("w0");
+    fixture.cell().updateDirectory(fixture.workers.directory());
+    fixture.timer.advance(lateBy);
+
+    fixture.workers.releaseHeldCalls("w0");
+    fixture.run(20_000);
+
+    assertThat(fixture.fencedCalls()).isZero();
+    assertThat(fixture.workers.violations()).isEmpty();
+    assertThat(fixture.cell().findJob(ID)).contains(JobView.COMPLETED);
+  }
+
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void returningWorkerDoesNotRejectALaterSession(boolean restarts) {
+    startLeaderOfLongLivedWorkers();
+    fixture.workers.crash("w0");
+    fixture.run(2_000);
+    fixture.workers.list("w0", false);
+    fixture.run(2_000);
+    if (restarts) {
+      fixture.workers.crash("w0");
+    }
+    fixture.workers.list("w0", true);
+    fixture.run(2_000);
+    submit(ID, 1_000);
+    fixture.run(500);
+
+    assertThat(fixture.workers.running("w0")).isPositive();
+    assertThat(fixture.fencedCalls()).isZero();
+  }
+
   /** Starts a leader, and lets time pass until the workers' clocks are ahead of any new lease. */
   private void startLeaderOfLongLivedWorkers() {
     fixture.startLeader();
