Let the client of a term number the fences

The client already holds the epoch of the term and now numbers the fences below it; the fake worker's run and the calls that are kept back get files of their own.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/SessionListener.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/SessionListener.java
@@ -18,9 +18,6 @@
    */
   record FoundRun(Resources demand, long stallTimeoutMillis, boolean wanted) {}
 
-  /** Returns a fence that is higher than all that the leader has used before. */
-  int nextFence();
-
   /** Returns whether leases may be renewed and commands sent. */
   boolean mayCommand();
 
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -116,9 +116,6 @@
   /** Whether commands may be sent, by the last check of the leadership. */
   private final CommandPermission permission;
 
-  /** Last fence of a worker session. */
-  private int lastFence;
-
   /** Whether the term has ended; no command or record is sent after that. */
   private boolean closed;
 
@@ -307,11 +304,9 @@
   /** Returns the state of a job, or empty if no accepted job has this identifier. */
   public Optional<JobView> findJob(String id) {
     Optional<JobView> ended = jobs.ended().outcome(id).map(stage -> TrackedJob.view(stage, true));
-    return ended.isPresent()
-        ? ended
-        : jobs.find(id)
-            .filter(job -> job.stage() != TrackedJob.Stage.ACCEPTING)
-            .map(TrackedJob::view);
+    Optional<TrackedJob> accepted =
+        jobs.find(id).filter(job -> job.stage() != TrackedJob.Stage.ACCEPTING);
+    return ended.or(() -> accepted.map(TrackedJob::view));
   }
 
   /**
@@ -592,12 +587,6 @@
 
   /** Applies the events of worker sessions to the jobs. */
   private final class SessionCallbacks implements SessionListener {
-    @Override
-    public int nextFence() {
-      lastFence++;
-      return lastFence;
-    }
-
     @Override
     public boolean mayCommand() {
       return WorkCell.this.mayCommand();
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkerSession.java
@@ -138,7 +138,7 @@
     this.timer = timer;
     lease = new LeaseBound(terms);
     describedIncarnation = entry.incarnation();
-    fence = callbacks.nextFence();
+    fence = client.nextFence();
     history = new WorkerHistory(entry.id());
     incarnationSinceMillis = timer.monotonicMillis();
   }
@@ -630,7 +630,7 @@
     // Commands reach whichever incarnation is up, so the runs are kept until a report of the new
     // one shows whether it has them.
     LOG.atInfo().log("workers: restarted worker=%s runs=%d", id(), runs.size());
-    fence = callbacks.nextFence();
+    fence = client.nextFence();
     incarnationSinceMillis = timer.monotonicMillis();
     lease.restarted(incarnationSinceMillis);
     processedEnd = 0;
--- a/coordination/src/main/java/org/vanillacove/coordination/work/api/WorkerClient.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/api/WorkerClient.java
@@ -7,6 +7,9 @@
 
 /** Sends commands to workers. Each callback is called once, on the scheduling thread. */
 public interface WorkerClient {
+  /** Returns a fence that is higher than all that were returned in the leader's term. */
+  int nextFence();
+
   /**
    * Renews the lease of all runs of a worker, acknowledges ends and lists its runs.
    *
--- a/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/FakeWorkers.java
@@ -12,9 +12,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.vanillacove.coordination.work.api.TaskName;
 import org.vanillacove.coordination.work.api.WorkerClient;
 import org.vanillacove.coordination.work.api.WorkerEntry;
@@ -49,6 +47,9 @@
   private final TimerService timer;
   private final Random random;
 
+  /** Calls that are kept back. */
+  final HeldCalls heldCalls;
+
   /** Longest lease that a worker grants, in milliseconds. */
   private final long maxLeaseMillis;
 
@@ -74,32 +75,11 @@
   FakeWorkers(TimerService timer, long seed, long maxLeaseMillis) {
     this.timer = timer;
     this.maxLeaseMillis = maxLeaseMillis;
+    heldCalls = new HeldCalls(timer, TIMEOUT);
     random = new Random(seed);
     timer.every(Duration.ofMillis(20), this::tick);
   }
 
-  /** A current run on a worker. */
-  private static final class Run {
-    private final TaskName task;
-    private final int number;
-    private final StepSpec step;
-    private long workedMillis;
-    private final long startedMillis;
-    private boolean gangComplete;
-
-    Run(TaskName task, int number, StepSpec step, long startedMillis) {
-      this.task = task;
-      this.number = number;
-      this.step = step;
-      this.startedMillis = startedMillis;
-    }
-
-    /** Percentage of the declared run time, which a longer run has used up before its end. */
-    int percent() {
-      return (int) Math.min(100, 100 * workedMillis / Math.max(1, step.estimateMillis()));
-    }
-  }
-
   /** State of one fake worker. */
   private static final class Worker {
     private WorkerEntry entry;
@@ -107,7 +87,7 @@
     private long leaseEndMillis;
     private long bornMillis;
     private long lastEndNumber;
-    private final Map<String, Run> runs = new TreeMap<>();
+    private final Map<String, FakeRun> runs = new TreeMap<>();
     private final List<WorkerClient.EndedRun> ended = new ArrayList<>();
     private final Map<TaskName, Integer> highestEndedRun = new HashMap<>();
     private boolean disconnected;
@@ -116,8 +96,6 @@
     private boolean startsUnanswered;
     private boolean startAnswersLost;
     private int startsToDelay;
-    private boolean callsHeld;
-    private final List<Runnable> heldCalls = new ArrayList<>();
     private boolean hanging;
     private double speed = 1;
     private Duration reportDelay = Duration.ZERO;
@@ -193,18 +171,6 @@
     workers.get(id).startsToDelay = count;
   }
 
-  /** Keeps back all calls to a worker, which time out unless they are released, or ends that. */
-  void holdCalls(String id, boolean held) {
-    workers.get(id).callsHeld = held;
-  }
-
-  /** Carries out the calls that were kept back, whichever incarnation of the worker is up. */
-  void releaseHeldCalls(String id) {
-    Worker worker = workers.get(id);
-    List.copyOf(worker.heldCalls).forEach(Runnable::run);
-    worker.heldCalls.clear();
-  }
-
   /** Returns the number of ends on a worker that were not acknowledged. */
   int unacknowledgedEnds(String id) {
     return workers.get(id).ended.size();
@@ -345,7 +311,7 @@
   Resources used(String organisation) {
     Resources total = Resources.NONE;
     for (Worker worker : workers.values()) {
-      for (Run run : worker.runs.values()) {
+      for (FakeRun run : worker.runs.values()) {
         if (submitted.get(run.task.job()).organisation().equals(Optional.of(organisation))) {
           total = total.plus(run.step.demand());
         }
@@ -384,13 +350,13 @@
   private void tick() {
     for (Worker worker : workers.values()) {
       long clock = clock(worker);
-      for (Run run : List.copyOf(worker.runs.values())) {
+      for (FakeRun run : List.copyOf(worker.runs.values())) {
         advance(worker, run, clock);
       }
     }
   }
 
-  private void advance(Worker worker, Run run, long clock) {
+  private void advance(Worker worker, FakeRun run, long clock) {
     if (!worker.runs.containsValue(run)) {
       return;
     }
@@ -415,17 +381,17 @@
     }
   }
 
-  private boolean waitsForMembers(Run run) {
+  private boolean waitsForMembers(FakeRun run) {
     return slowestMemberCounts
         && run.step.gang()
         && members(run).stream().anyMatch(member -> member.workedMillis < lengthMillis(member));
   }
 
-  private long lengthMillis(Run run) {
+  private long lengthMillis(FakeRun run) {
     return (long) (run.step.estimateMillis() * lengthFactors.getOrDefault(run.task, 1.0));
   }
 
-  private List<Run> members(Run of) {
+  private List<FakeRun> members(FakeRun of) {
     return workers.values().stream()
         .flatMap(worker -> worker.runs.values().stream())
         .filter(run -> run.task.job().equals(of.task.job()))
@@ -433,7 +399,7 @@
         .toList();
   }
 
-  private void end(Worker worker, Run run, WorkerClient.EndCause cause) {
+  private void end(Worker worker, FakeRun run, WorkerClient.EndCause cause) {
     worker.runs.remove(key(run.task, run.number));
     worker.lastEndNumber++;
     worker.highestEndedRun.merge(run.task, run.number, Math::max);
@@ -448,7 +414,7 @@
     if (run.step.gang()) {
       WorkerClient.EndCause others =
           cause == WorkerClient.EndCause.DONE ? cause : WorkerClient.EndCause.BROKEN;
-      for (Run member : members(run)) {
+      for (FakeRun member : members(run)) {
         workers.values().stream()
             .filter(other -> other.runs.containsValue(member))
             .findFirst()
@@ -479,7 +445,7 @@
     }
     Resources used = step.demand();
     int same = 1;
-    for (Run other : worker.runs.values()) {
+    for (FakeRun other : worker.runs.values()) {
       used = used.plus(other.step.demand());
       same += other.task.job().equals(task.job()) && other.task.step() == task.step() ? 1 : 0;
     }
@@ -514,7 +480,7 @@
       violations.add("start of " + task + " run " + run + " after its acknowledged end");
     }
     for (Worker other : workers.values()) {
-      for (Run each : other.runs.values()) {
+      for (FakeRun each : other.runs.values()) {
         if (each.task.equals(task)) {
           violations.add(
               "two runs of " + task + ": " + each.number + " on " + other.entry.id() + ", " + run);
@@ -526,18 +492,24 @@
   /** Client of one leader, whose epoch fences earlier ones. */
   private final class Client implements WorkerClient {
     private final long epoch;
+    private int lastFence;
 
     Client(long epoch) {
       this.epoch = epoch;
     }
 
+    @Override
+    public int nextFence() {
+      return ++lastFence;
+    }
+
     @Override
     public void renew(Recipient recipient, Renewal call, Consumer<RenewalOutcome> done) {
       Worker worker = workers.get(recipient.entry().id());
       worker.reportRequests++;
       renewals += call.leaseEndMillis().isPresent() ? 1 : 0;
-      if (worker.callsHeld) {
-        hold(worker, () -> report(worker, recipient, call), new RenewalOutcome.NoResponse(), done);
+      RenewalOutcome noResponse = new RenewalOutcome.NoResponse();
+      if (heldCalls.keeps(recipient, () -> report(worker, recipient, call), noResponse, done)) {
         return;
       }
       if (worker.disconnected) {
@@ -598,9 +570,10 @@
 
     private void deliver(Recipient recipient, Action action, Consumer<CommandOutcome> done) {
       Worker worker = workers.get(recipient.entry().id());
-      if (worker.callsHeld) {
-        hold(worker, action::run, new CommandOutcome.Unknown(), done);
-      } else if (worker.disconnected) {
+      if (heldCalls.keeps(recipient, action::run, new CommandOutcome.Unknown(), done)) {
+        return;
+      }
+      if (worker.disconnected) {
         timer.after(TIMEOUT, () -> done.accept(new CommandOutcome.Unknown()));
       } else if (worker.commandsDelayed && random.nextBoolean()) {
         executeLate(worker, Duration.ofMillis(2_000 + random.nextInt(6_000)), action);
@@ -610,19 +583,6 @@
       }
     }
 
-    /** Keeps a call back; its caller gets the outcome if the call is released in time. */
-    private <T> void hold(Worker worker, Supplier<T> call, T noAnswer, Consumer<T> done) {
-      AtomicBoolean answered = new AtomicBoolean();
-      Consumer<T> once =
-          outcome -> {
-            if (answered.compareAndSet(false, true)) {
-              done.accept(outcome);
-            }
-          };
-      worker.heldCalls.add(() -> once.accept(call.get()));
-      timer.after(TIMEOUT, () -> once.accept(noAnswer));
-    }
-
     /** Executes a command that the present incarnation received, unless that one ends before. */
     private void executeLate(Worker worker, Duration delay, Action action) {
       long incarnation = worker.entry.incarnation();
@@ -702,7 +662,7 @@
         StepSpec step = spec.steps().get(command.task().step());
         worker.runs.put(
             key(command.task(), command.run()),
-            new Run(command.task(), command.run(), step, clock(worker)));
+            new FakeRun(command.task(), command.run(), step, clock(worker)));
       }
       return new CommandOutcome.Done(clock(worker));
     }
@@ -712,7 +672,7 @@
         return new CommandOutcome.Refused(Refusal.FENCED);
       }
       worker.highestEndedRun.merge(task, run, Math::max);
-      Run current = worker.runs.get(key(task, run));
+      FakeRun current = worker.runs.get(key(task, run));
       if (current != null) {
         timer.after(
             Duration.ofMillis(100),
--- a/coordination/src/test/java/org/vanillacove/coordination/work/LateCallOfFormerIncarnationTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/LateCallOfFormerIncarnationTest.java
@@ -24,16 +24,16 @@
   @ValueSource(longs = {5_000, 8_000, 20_000})
   void lateRenewalDoesNotExtendTheLease(long lateBy) {
     startLeaderOfLongLivedWorkers();
-    fixture.workers.holdCalls("w0", true);
+    fixture.workers.heldCalls.hold("w0", true);
     fixture.run(500);
     fixture.workers.crash("w0");
-    fixture.workers.holdCalls("w0", false);
+    fixture.workers.heldCalls.hold("w0", false);
     fixture.run(1_000);
     submit(ID, 60_000);
     fixture.run(lateBy);
     assertThat(fixture.workers.running("w0")).isPositive();
 
-    fixture.workers.releaseHeldCalls("w0");
+    fixture.workers.heldCalls.release("w0");
     fixture.workers.disconnect("w0", true);
     fixture.run(120_000);
 
@@ -45,16 +45,16 @@
   @ValueSource(longs = {1_000, 3_000, 10_000})
   void lateCopyOfStartDoesNotRunAnEndedTaskAgain(long lateBy) {
     startLeaderOfLongLivedWorkers();
-    fixture.workers.holdCalls("w0", true);
+    fixture.workers.heldCalls.hold("w0", true);
     submit(ID, 400);
     fixture.timer.advance(30);
-    fixture.workers.holdCalls("w0", false);
+    fixture.workers.heldCalls.hold("w0", false);
     fixture.run(4_000);
     assertThat(fixture.cell().findJob(ID)).contains(JobView.COMPLETED);
     fixture.workers.crash("w0");
     fixture.run(lateBy);
 
-    fixture.workers.releaseHeldCalls("w0");
+    fixture.workers.heldCalls.release("w0");
     fixture.run(10_000);
 
     assertThat(fixture.workers.violations()).isEmpty();
@@ -64,17 +64,17 @@
   @ValueSource(longs = {50, 70, 100})
   void absenceIsNoEvidenceBeforeLateCallsAreRejected(long lateBy) {
     startLeaderOfLongLivedWorkers();
-    fixture.workers.holdCalls("w0", true);
+    fixture.workers.heldCalls.hold("w0", true);
     submit(ID, 5_000);
     fixture.timer.advance(30);
-    fixture.workers.holdCalls("w0", false);
+    fixture.workers.heldCalls.hold("w0", false);
     fixture.run(1_500);
     assertThat(fixture.workers.running("w0")).isPositive();
     fixture.workers.crash("w0");
     awaitReportRequest();
     fixture.timer.advance(lateBy);
 
-    fixture.workers.releaseHeldCalls("w0");
+    fixture.workers.heldCalls.release("w0");
     fixture.run(20_000);
 
     assertThat(fixture.workers.violations()).isEmpty();
@@ -88,15 +88,15 @@
     submit(EARLIER, 400);
     awaitEnd();
     fixture.timer.advance(100);
-    fixture.workers.holdCalls("w0", true);
+    fixture.workers.heldCalls.hold("w0", true);
     fixture.timer.advance(250);
     fixture.workers.crash("w0");
-    fixture.workers.holdCalls("w0", false);
+    fixture.workers.heldCalls.hold("w0", false);
     fixture.run(lateBy);
     submit(ID, 400);
     awaitEnd();
 
-    fixture.workers.releaseHeldCalls("w0");
+    fixture.workers.heldCalls.release("w0");
     fixture.run(10_000);
 
     assertThat(fixture.workers.violations()).isEmpty();
@@ -109,15 +109,15 @@
     startLeaderOfLongLivedWorkers();
     awaitReportRequest();
     fixture.timer.advance(50);
-    fixture.workers.holdCalls("w0", true);
+    fixture.workers.heldCalls.hold("w0", true);
     submit(ID, 5_000);
     fixture.timer.advance(30);
-    fixture.workers.holdCalls("w0", false);
+    fixture.workers.heldCalls.hold("w0", false);
     fixture.workers.crash("w0");
     fixture.cell().updateDirectory(fixture.workers.directory());
     fixture.timer.advance(lateBy);
 
-    fixture.workers.releaseHeldCalls("w0");
+    fixture.workers.heldCalls.release("w0");
     fixture.run(20_000);
 
     assertThat(fixture.fencedCalls()).isZero();
