Review case 12: a long task is stopped and started again for ever

Cause: a run counts as stalled if its percentage hasn't risen for a twentieth of the estimate, which a sound task that takes over five times its estimate does at each percent.

--- a/review/standins-3/org/vanillacove/review3/Cell.java
+++ b/review/standins-3/org/vanillacove/review3/Cell.java
@@ -82,10 +82,19 @@
     return true;
   }
 
+  void note(String line) {
+    journal.note(line);
+  }
+
   /** Returns the body of a job of one task that works for {@code millis} milliseconds. */
   static String job(String label, long cpu, long millis) {
+    return job(label, cpu, millis, millis);
+  }
+
+  /** Returns the same with an estimate of its own. */
+  static String job(String label, long cpu, long millis, long estimateMillis) {
     return "{\"spec\":\"" + millis + "\",\"steps\":[{\"count\":1,\"cpu\":" + cpu
-        + ",\"mem_mb\":256,\"estimate_ms\":" + millis + ",\"required_label\":\"" + label + "\"}]}";
+        + ",\"mem_mb\":256,\"estimate_ms\":" + estimateMillis + ",\"required_label\":\"" + label + "\"}]}";
   }
 
   /** Hands a job in, at up to 5 attempts; returns whether it was accepted. */
@@ -107,7 +116,7 @@
       if (answer.status() == 200 && answer.body().contains("completed")) {
         return true;
       }
-      Thread.sleep(1_000);
+      Thread.sleep(Math.min(1_000, millis));
     }
     return false;
   }
