--- a/review/standins-3/org/vanillacove/review3/Cell.java
+++ b/review/standins-3/org/vanillacove/review3/Cell.java
@@ -56,6 +56,15 @@
     return client;
   }
 
+  Hosts hosts() {
+    return hosts;
+  }
+
+  /** Returns when a runner last started a task whose name begins so; 0 if none did. */
+  long lastStartNanos(String prefix) {
+    return runners.stream().mapToLong(runner -> runner.lastStartNanos(prefix)).max().orElse(0);
+  }
+
   /** Returns the front address of a host. */
   String front(int host) {
     return hosts.fronts().get(host);
--- a/review/standins-3/org/vanillacove/review3/Client.java
+++ b/review/standins-3/org/vanillacove/review3/Client.java
@@ -32,6 +32,12 @@
   record Answer(int status, String body) {}
 
   Answer call(String method, String address, String path, String body) throws InterruptedException {
+    return call(method, address, path, body, DEADLINE_MILLIS);
+  }
+
+  /** Sends a request and leaves if no answer has come after {@code patienceMillis}. */
+  Answer call(String method, String address, String path, String body, long patienceMillis)
+      throws InterruptedException {
     HttpRequest request =
         HttpRequest.newBuilder(URI.create("http://" + address + path))
             .method(
@@ -39,7 +45,7 @@
             .header("Host", host)
             .header("Content-Type", "application/json")
             .header("Vanillacove-Deadline-Remaining", Long.toString(DEADLINE_MILLIS))
-            .timeout(Duration.ofMillis(DEADLINE_MILLIS))
+            .timeout(Duration.ofMillis(patienceMillis))
             .build();
     Answer answer;
     try {
--- a/review/standins-3/org/vanillacove/review3/Hosts.java
+++ b/review/standins-3/org/vanillacove/review3/Hosts.java
@@ -118,6 +118,31 @@
     }
   }
 
+  /** Returns the number of the host that was elected last, from the logs. */
+  int leader() throws IOException {
+    int leader = 0;
+    long newest = 0;
+    for (int i = 0; i < fronts.size(); i++) {
+      for (String line : Files.readAllLines(folder.resolve("front-" + (i + 1) + ".log"))) {
+        int at = line.indexOf("leader: elected epoch=");
+        long epoch = at < 0 ? 0 : Long.parseLong(line.substring(at + 22).trim());
+        if (epoch > newest) {
+          newest = epoch;
+          leader = i;
+        }
+      }
+    }
+    journal.note("host front-" + (leader + 1) + " leads epoch=" + newest);
+    return leader;
+  }
+
+  /** Sends a signal to a host's process. */
+  void signal(int host, String signal) throws IOException, InterruptedException {
+    Process process = processes.get("front-" + (host + 1));
+    journal.note("host front-" + (host + 1) + " gets " + signal);
+    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+  }
+
   /** Returns the front address of each host. */
   List<String> fronts() {
     return fronts;
--- a/review/standins-3/org/vanillacove/review3/Runner.java
+++ b/review/standins-3/org/vanillacove/review3/Runner.java
@@ -44,6 +44,7 @@
   private final long startNanos = System.nanoTime();
   private final Map<String, Run> running = new LinkedHashMap<>();
   private final Map<String, Long> endedRuns = new HashMap<>();
+  private final Map<String, Long> startNanosOfTasks = new HashMap<>();
   private final List<End> ends = new ArrayList<>();
   private long lastEnd;
   private long token;
@@ -103,6 +104,15 @@
     return running.size();
   }
 
+  /** Returns when a task whose name begins so was last started; 0 if none was. */
+  synchronized long lastStartNanos(String prefix) {
+    return startNanosOfTasks.entrySet().stream()
+        .filter(each -> each.getKey().startsWith(prefix))
+        .mapToLong(Map.Entry::getValue)
+        .max()
+        .orElse(0);
+  }
+
   /** Returns the entry that the runner writes to the directory. */
   synchronized ObjectNode entry() {
     ObjectNode entry = MAPPER.createObjectNode();
@@ -189,6 +199,7 @@
     }
     extend(body);
     long millis = Long.parseLong(body.path("spec").asText());
+    startNanosOfTasks.put(task, System.nanoTime());
     running.put(key, new Run(task, run, clock(), millis));
     journal.note("runner " + id + " starts " + key + " token=" + token);
     return reply(200, "");
