Review cases 11 and 14: a surer moment, and one crash less

Cause: the entry of case 11 was missed if the runner's next heartbeat came within the pause between two reads; case 14 needs only one crash. Change: case 11 writes the entry just after a heartbeat; case 14 begins with an added runner.

--- a/review/standins-3/org/vanillacove/review3/ClockSetBack.java
+++ b/review/standins-3/org/vanillacove/review3/ClockSetBack.java
@@ -3,9 +3,9 @@
 import java.io.IOException;
 
 /**
- * The time of day of a runner's machine is ahead by 2 s while the runner starts, and then set back.
- * The runner crashes and starts again under its id, at another port, before the time of day has
- * caught up. A job that only this runner may run has to be run.
+ * A runner is added. The time of day of its machine is ahead by 2 s while it starts, and then set
+ * back. The runner crashes and starts again under its id, at another port, before the time of day
+ * has caught up. A job that only this runner may run has to be run.
  */
 public final class ClockSetBack {
   private static final long STEP_MILLIS = 2_000;
@@ -32,17 +32,14 @@
       cell.startRunner(
           "runner-" + i, new Runner.Profile(Cell.SERVICE, "a", "r1-1", 64_000, 262_144), 0);
     }
-    Runner first = cell.startRunner(RUNNER, PROFILE, 0);
     if (!cell.startHosts(3)
-        || !cell.submit(0, FIRST, Cell.job("b", 1_000, 500))
+        || !cell.submit(0, FIRST, Cell.job("a", 1_000, 500))
         || !cell.awaitCompleted(1, FIRST, 20_000)) {
       return Case.NOT_RUN;
     }
-    first.crash();
-    Thread.sleep(500);
-    Runner second = cell.startRunner(RUNNER, PROFILE, trouble ? STEP_MILLIS : 0);
+    Runner added = cell.startRunner(RUNNER, PROFILE, trouble ? STEP_MILLIS : 0);
     Thread.sleep(1_000);
-    second.crash();
+    added.crash();
     Thread.sleep(500);
     cell.startRunner(RUNNER, PROFILE, 0);
     Thread.sleep(3_000);
--- a/review/standins-3/org/vanillacove/review3/LaterBornEntry.java
+++ b/review/standins-3/org/vanillacove/review3/LaterBornEntry.java
@@ -40,6 +40,8 @@
       return Case.NOT_RUN;
     }
     if (trouble) {
+      // The entry stands until the runner's next heartbeat.
+      only.awaitBeat();
       ObjectNode entry = only.entry();
       entry.put("service", "staging-planner").put("address", "127.0.0.1:" + closedPort());
       entry.put("born", entry.path("born").asLong() + 5_000);
--- a/review/standins-3/org/vanillacove/review3/Runner.java
+++ b/review/standins-3/org/vanillacove/review3/Runner.java
@@ -50,6 +50,7 @@
   private long token;
   private long leaseEnd;
   private long seq;
+  private long beats;
   private boolean stopped;
 
   /** What a runner says of itself. */
@@ -125,9 +126,19 @@
     return entry;
   }
 
+  /** Waits until the runner has written its entry once more. */
+  synchronized void awaitBeat() throws InterruptedException {
+    long next = beats + 1;
+    while (beats < next) {
+      wait();
+    }
+  }
+
   private synchronized void beat() {
     if (!stopped) {
       store.put("keyed.servers", id, entry().toString());
+      beats++;
+      notifyAll();
     }
   }
 
