Review case 11: callbacks on a second thread once descriptors run out

Cause: the HTTP client hands outcomes to its callers on the thread that completes the connection; if no socket can be opened, this isn't the event loop.

--- a/review/standins-3/org/vanillacove/review3/Cell.java
+++ b/review/standins-3/org/vanillacove/review3/Cell.java
@@ -60,6 +60,16 @@
     return hosts;
   }
 
+  /** Returns how many runs the runners have. */
+  int runs() {
+    return runners.stream().mapToInt(Runner::runs).sum();
+  }
+
+  /** Returns the time since a task of a job was last started. */
+  long millisSinceLastStart(String job) {
+    return (System.nanoTime() - lastStartNanos(job + ".")) / 1_000_000;
+  }
+
   /** Returns when a runner last started a task whose name begins so; 0 if none did. */
   long lastStartNanos(String prefix) {
     return runners.stream().mapToLong(runner -> runner.lastStartNanos(prefix)).max().orElse(0);
@@ -78,7 +88,12 @@
 
   /** Starts hosts and waits until all are ready; returns whether they became so in time. */
   boolean startHosts(int count) throws IOException, InterruptedException {
-    hosts.start(count, store.address());
+    return startHosts(count, 0);
+  }
+
+  /** The same with at most {@code maxDescriptors} descriptors for each host. */
+  boolean startHosts(int count, int maxDescriptors) throws IOException, InterruptedException {
+    hosts.start(count, store.address(), maxDescriptors);
     long until = System.nanoTime() + MAX_START_MILLIS * 1_000_000;
     for (String ready : hosts.ready()) {
       while (client.call("GET", ready, "/vanillacove/ready", "").status() != 200) {
--- a/review/standins-3/org/vanillacove/review3/Hosts.java
+++ b/review/standins-3/org/vanillacove/review3/Hosts.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 
 /** Entry hosts: processes that run the command of the deploy file, each on an address of its own. */
@@ -87,8 +88,8 @@
     Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
   }
 
-  /** Starts {@code count} hosts. */
-  void start(int count, String store) throws IOException {
+  /** Starts {@code count} hosts, each with at most {@code maxDescriptors} descriptors; 0 for all. */
+  void start(int count, String store, int maxDescriptors) throws IOException {
     int net = 1 + (int) (ProcessHandle.current().pid() % 250);
     for (int i = 0; i < count; i++) {
       String ip = "127.77." + net + "." + (11 + i);
@@ -104,7 +105,7 @@
               .replace("READY", Integer.toString(ports[1]))
               .replace("PEER", Integer.toString(ports[2]))
               .replace("STORE", store));
-      ProcessBuilder builder = new ProcessBuilder(command());
+      ProcessBuilder builder = new ProcessBuilder(command(maxDescriptors));
       builder.directory(root.toFile());
       builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
       builder.environment().put("VANILLACOVE_CONFIG", settings.toString());
@@ -136,6 +137,19 @@
     return leader;
   }
 
+  /** Notes how often each line with {@code part} stands in the logs. */
+  void noteLines(String part) throws IOException {
+    Map<String, Integer> counts = new TreeMap<>();
+    for (String name : processes.keySet()) {
+      for (String line : Files.readAllLines(folder.resolve(name + ".log"))) {
+        if (line.contains(part)) {
+          counts.merge(name + " " + line.strip(), 1, Integer::sum);
+        }
+      }
+    }
+    counts.forEach((line, count) -> journal.note("log " + count + " times: " + line));
+  }
+
   /** Sends a signal to a host's process. */
   void signal(int host, String signal) throws IOException, InterruptedException {
     Process process = processes.get("front-" + (host + 1));
@@ -153,10 +167,16 @@
     return ready;
   }
 
-  private List<String> command() throws IOException {
+  private List<String> command(int maxDescriptors) throws IOException {
     for (String line : Files.readAllLines(root.resolve("deploy/system.toml"))) {
       if (line.startsWith("run = \"")) {
-        return List.of(line.substring(7, line.lastIndexOf('"')).split(" +"));
+        List<String> command = new ArrayList<>();
+        if (maxDescriptors > 0) {
+          String limited = "ulimit -n " + maxDescriptors + "; exec \"$@\"";
+          command.addAll(List.of("bash", "-c", limited, "host"));
+        }
+        command.addAll(List.of(line.substring(7, line.lastIndexOf('"')).split(" +")));
+        return command;
       }
     }
     throw new IOException("no command in the deploy file");
--- a/review/standins-3/org/vanillacove/review3/Store.java
+++ b/review/standins-3/org/vanillacove/review3/Store.java
@@ -23,6 +23,8 @@
   /** Appends of a writer whose answers are repeated. */
   private static final int REMEMBERED_APPENDS = 5;
 
+  private static final int RECORD_BYTES = 262_144;
+  private static final int REQUEST_BYTES = 2_097_152;
   private static final int MAX_PAGE_ITEMS = 500;
   private static final int MAX_PAGE_BYTES = 1 << 20;
   private static final long MAX_WAIT_MILLIS = 30_000;
@@ -30,6 +32,9 @@
   private final Map<String, Topic> topics = new HashMap<>();
   private final HttpServer server;
 
+  /** Appends that were refused for their size. */
+  private int refused;
+
   /** Starts a store on a free port. */
   Store() throws IOException {
     server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 256);
@@ -67,6 +72,11 @@
     return "127.0.0.1:" + server.getAddress().getPort();
   }
 
+  /** Returns how many appends were refused for their size. */
+  synchronized int refused() {
+    return refused;
+  }
+
   void stop() {
     server.stop(0);
   }
@@ -151,6 +161,10 @@
         return Answer.json(409, "{\"reason\":\"seq\",\"seq\":" + (writer.last + 1) + "}");
       }
     }
+    if (isTooLarge(body)) {
+      refused++;
+      return Answer.json(400, "{\"error\":\"record_bytes or request_bytes\"}");
+    }
     ByteBuffer records = ByteBuffer.wrap(body);
     while (records.hasRemaining()) {
       byte[] record = new byte[records.getInt()];
@@ -170,6 +184,18 @@
     return Answer.json(200, answer);
   }
 
+  private static boolean isTooLarge(byte[] body) {
+    ByteBuffer records = ByteBuffer.wrap(body);
+    while (records.hasRemaining()) {
+      int length = records.getInt();
+      if (length > RECORD_BYTES) {
+        return true;
+      }
+      records.position(records.position() + length);
+    }
+    return body.length > REQUEST_BYTES;
+  }
+
   private synchronized Answer read(Map<String, String> query, byte[] body)
       throws InterruptedException {
     Topic topic = topic(query.get("topic"));
