--- a/review/standins-3/org/vanillacove/review3/Store.java
+++ b/review/standins-3/org/vanillacove/review3/Store.java
@@ -10,6 +10,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -32,9 +33,6 @@
   private final Map<String, Topic> topics = new HashMap<>();
   private final HttpServer server;
 
-  /** Appends that were refused for their size. */
-  private int refused;
-
   /** Starts a store on a free port. */
   Store() throws IOException {
     server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 256);
@@ -72,11 +70,6 @@
     return "127.0.0.1:" + server.getAddress().getPort();
   }
 
-  /** Returns how many appends were refused for their size. */
-  synchronized int refused() {
-    return refused;
-  }
-
   void stop() {
     server.stop(0);
   }
@@ -162,7 +155,6 @@
       }
     }
     if (isTooLarge(body)) {
-      refused++;
       return Answer.json(400, "{\"error\":\"record_bytes or request_bytes\"}");
     }
     ByteBuffer records = ByteBuffer.wrap(body);
@@ -239,7 +231,7 @@
       }
       byte[] record = topic.log.get(each.getValue());
       int start = 1 + Byte.toUnsignedInt(record[0]);
-      byte[] value = java.util.Arrays.copyOfRange(record, start, record.length);
+      byte[] value = Arrays.copyOfRange(record, start, record.length);
       items
           .append(count == 0 ? "" : ",")
           .append("{\"key\":\"" + each.getKey() + "\",\"value\":\"")
