Let the cases of the third review exit with 2 without a build

Cause: a missing build looked like a broken rule, and a signal needed a program beside the shell. Change: the runner checks for the build; signals are sent by the shell.

--- a/review/run-3.sh
+++ b/review/run-3.sh
@@ -3,6 +3,10 @@
 set -euo pipefail
 folder=$(cd "$2" && pwd)
 cd "$(dirname "$0")/.."
+if [ ! -f platform/target/platform.jsa ] || [ ! -d review/target/classes-3 ]; then
+  echo "run deploy/build.sh and review/build-3.sh first" >&2
+  exit 2
+fi
 java=$(sed -n 's/^run = "\([^ ]*\) .*/\1/p' deploy/system.toml)
 exec "$java" -Xmx256m -cp 'review/target/classes-3:platform/target/lib/*' \
   "org.vanillacove.review3.$1" "$PWD" "$folder/record.txt" "${TROUBLE:-1}"
--- a/review/standins-3/org/vanillacove/review3/Hosts.java
+++ b/review/standins-3/org/vanillacove/review3/Hosts.java
@@ -154,7 +154,7 @@
   void signal(int host, String signal) throws IOException, InterruptedException {
     Process process = processes.get("front-" + (host + 1));
     journal.note("host front-" + (host + 1) + " gets " + signal);
-    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
+    new ProcessBuilder("bash", "-c", "kill -" + signal + " " + process.pid()).start().waitFor();
   }
 
   /** Returns the front address of each host. */
