--- a/review/run-3.sh
+++ b/review/run-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs a case: run-3.sh CLASS FOLDER. Without the disruption if TROUBLE is 0.
+# Runs a case: run-3.sh CLASS FOLDER TROUBLE, without the disruption if TROUBLE is 0.
 set -euo pipefail
 folder=$(cd "$2" && pwd)
 cd "$(dirname "$0")/.."
@@ -9,4 +9,4 @@
 fi
 java=$(sed -n 's/^run = "\([^ ]*\) .*/\1/p' deploy/system.toml)
 exec "$java" -Xmx256m -cp 'review/target/classes-3:platform/target/lib/*' \
-  "org.vanillacove.review3.$1" "$PWD" "$folder/record.txt" "${TROUBLE:-1}"
+  "org.vanillacove.review3.$1" "$PWD" "$folder/record.txt" "$3"
