Reject the late submission of a job whose cancelling was acknowledged

Callers saw: a client handed a job in at a suspended host, left, cancelled the job at another host and got 410.

Cause: the answer to the cancelling of an unknown job was a statement on the past. Nothing was kept of it, neither by the leader nor in the store, so any copy of the submission that arrived later was a new job: from a suspended host, over a slow link, by a repeated forward or at the next leader.

Change: the cancelling of a job that the leader doesn't know writes a tombstone for the job's identifier and the caller's organisation, and 410 is sent once that is durable. A submission that finds a tombstone gets a final 503 without Retry-After. Tombstones are read by each new leader, are kept as long as ended jobs after the last cancelling, and are 10,000 at most; beyond that, and while the store is away, the cancelling gets 503 with Retry-After and promises nothing. A cancelling while a submission is being accepted does the same if that submission is rejected, as does one of another organisation's job. JobCanceller takes this logic out of WorkCell.

--- a/coordination/src/main/java/org/vanillacove/coordination/work/CellMetrics.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/CellMetrics.java
@@ -76,6 +76,11 @@
     count("jobs.submitted", reason);
   }
 
+  /** Counts the cancellation of an unknown job by the outcome of its tombstone's write. */
+  void countTombstone(String outcome) {
+    count("jobs.tombstones", outcome);
+  }
+
   void finished(TrackedJob.Stage stage, long millis) {
     completion.record(Duration.ofMillis(millis));
     count("jobs.ended", name(stage));
--- a/coordination/src/main/java/org/vanillacove/coordination/work/EndedJobsCleanup.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/EndedJobsCleanup.java
@@ -20,7 +20,12 @@
   EndedJobsCleanup(JobTable jobs, JobRecorder recorder, long statusMillis) {
     this.jobs = jobs;
     this.recorder = recorder;
-    this.retentionMillis = statusMillis + STATUS_MARGIN_MILLIS;
+    this.retentionMillis = retentionMillis(statusMillis);
+  }
+
+  /** Returns how long identifiers are remembered if states can be queried so long. */
+  static long retentionMillis(long statusMillis) {
+    return statusMillis + STATUS_MARGIN_MILLIS;
   }
 
   /** Bundles settled jobs and deletes the records whose retention time is over. */
--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
@@ -24,12 +24,18 @@
   /** Reason given to a caller whose identifier is taken; it doesn't tell that the job exists. */
   private static final String NOT_ACCEPTED = "not accepted";
 
+  /** Reason of the rejection of a job whose cancellation was acknowledged before. */
+  private static final String CANCELLED_BEFORE = "cancelled before";
+
   /** Retry delay of a job that doesn't fit the cap of its organisation; caps seldom change. */
   private static final Duration CAP_RETRY_DELAY = Duration.ofMinutes(10);
 
   /** All known jobs. */
   private final JobTable jobs;
 
+  /** Jobs that were cancelled before their submission arrived. */
+  private final Tombstones tombstones;
+
   /** Forecasts whether a job can be on time. */
   private final AdmissionForecast forecast;
 
@@ -60,6 +66,7 @@
   /** Creates an intake without pending callers. */
   JobIntake(
       JobTable jobs,
+      Tombstones tombstones,
       AdmissionForecast forecast,
       QueueTable queues,
       OrganisationUsage usage,
@@ -68,6 +75,7 @@
       TimerService timer,
       Consumer<TrackedJob> changed) {
     this.jobs = jobs;
+    this.tombstones = tombstones;
     this.forecast = forecast;
     this.queues = queues;
     this.usage = usage;
@@ -103,6 +111,13 @@
       done.accept(new SubmitOutcome.Accepted());
       return;
     }
+    if (tombstones.contains(spec)) {
+      LOG.atInfo().log(
+          "jobs: reject job=%s queue=%s reason=%s", spec.id(), spec.queue(), CANCELLED_BEFORE);
+      metrics.rejected(CANCELLED_BEFORE);
+      done.accept(new SubmitOutcome.Cancelled());
+      return;
+    }
     boolean owed = rates.take(spec, timer.monotonicMillis());
     Optional<SubmitOutcome.Rejected> rejection = rejection(spec, owed);
     if (rejection.isPresent()) {
@@ -125,16 +140,18 @@
   }
 
   /**
-   * Runs {@code cancel} once a job that is being accepted is durable. A rejected job must not leave
-   * an end behind, so nothing is written until then.
+   * Runs {@code cancel} once a job that is being accepted is durable or rejected. A rejected job
+   * must not leave an end behind, so nothing is written until then.
    */
   void cancelOnceAccepted(String id, Runnable cancel, Consumer<CancelOutcome> done) {
     callers.add(
         id,
         outcome -> {
           switch (outcome) {
+            // Another copy of a rejected submission may still arrive.
             case SubmitOutcome.Accepted accepted -> cancel.run();
-            case SubmitOutcome.Rejected rejected -> done.accept(CancelOutcome.NO_SUCH_JOB);
+            case SubmitOutcome.Rejected rejected -> cancel.run();
+            case SubmitOutcome.Cancelled cancelled -> cancel.run();
             // Another outcome follows, once the store answers.
             case SubmitOutcome.Unknown unknown -> cancelOnceAccepted(id, cancel, done);
             case SubmitOutcome.TermEnded ended -> done.accept(CancelOutcome.TERM_ENDED);
--- a/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/WorkCell.java
@@ -104,8 +104,11 @@
   /** Accepts or rejects submitted jobs. */
   private final JobIntake intake;
 
-  /** Callers whose cancellation waits until it is durable. */
-  private final PendingCallers<CancelOutcome> pendingCancellations = new PendingCallers<>();
+  /** Jobs that were cancelled while they were not known. */
+  private final Tombstones tombstones;
+
+  /** Cancels jobs. */
+  private final JobCanceller canceller;
 
   /** Subscription of the maintenance pass; cancelled on close. */
   private final TimerService.Subscription check;
@@ -137,6 +140,9 @@
     queues = new QueueTable(recorder);
     workerRecords = new WorkerRecords(recorder, this::scheduleDispatch);
     endedJobs = new EndedJobsCleanup(jobs, recorder, term.statusMillis());
+    tombstones =
+        new Tombstones(
+            recorder, term.metrics(), timer, EndedJobsCleanup.retentionMillis(term.statusMillis()));
     advice = new AdviceScheduler(adviser, timer, this::scheduleDispatch);
     gangs = new GangSupervisor(jobs, timer, term.metrics(), term.gangWaitMillis(), this::stopRun);
     foundRuns = new FoundRuns(jobs, gangs);
@@ -164,6 +170,7 @@
     intake =
         new JobIntake(
             jobs,
+            tombstones,
             new AdmissionForecast(jobs, workers, queues, usage, timer),
             queues,
             usage,
@@ -171,6 +178,12 @@
             term.metrics(),
             timer,
             this::acceptanceChanged);
+    canceller =
+        new JobCanceller(
+            jobs,
+            tombstones,
+            intake,
+            job -> finish(job, TrackedJob.Stage.CANCELLING, TrackedJob.Stage.CANCELLED));
     permission = new CommandPermission(timer);
     check = timer.every(CHECK_PERIOD, this::check);
   }
@@ -196,6 +209,7 @@
   /** Restores jobs and workers from all durable records; called once, before any other method. */
   public void load(List<KeyedRecord> records) {
     queues.load(records);
+    tombstones.load(records);
     jobs.load(
         records,
         timer.monotonicMillis(),
@@ -317,24 +331,16 @@
     return jobs.isHidden(id, caller);
   }
 
-  /** Cancels a job; {@code done} is called once the cancellation is durable. */
-  public void cancel(String id, Consumer<CancelOutcome> done) {
-    Optional<TrackedJob> found = jobs.find(id);
-    Optional<TrackedJob.Stage> ended = jobs.ended().outcome(id);
-    if (found.isEmpty() || ended.isPresent()) {
-      done.accept(ended.map(WorkCell::cancelOutcome).orElse(CancelOutcome.NO_SUCH_JOB));
-      return;
-    }
-    TrackedJob job = found.get();
-    if (job.stage() == TrackedJob.Stage.ACCEPTING) {
-      intake.cancelOnceAccepted(id, () -> cancel(id, done), done);
-      return;
-    }
-    pendingCancellations.add(id, done);
-    if (job.stage() != TrackedJob.Stage.CANCELLING) {
-      LOG.atInfo().log("jobs: cancel job=%s stage=%s", id, job.stage());
-      finish(job, TrackedJob.Stage.CANCELLING, TrackedJob.Stage.CANCELLED);
-    }
+  /**
+   * Cancels a job; {@code done} is called once the cancellation is durable. A job that isn't known
+   * to the caller won't be accepted if its submission arrives later.
+   *
+   * @param id identifier of the job
+   * @param caller organisation of the caller, empty if it has none
+   * @param done called once with the outcome
+   */
+  public void cancel(String id, Optional<String> caller, Consumer<CancelOutcome> done) {
+    canceller.cancel(id, caller, done);
   }
 
   /**
@@ -358,7 +364,7 @@
     organisationReport.close();
     workers.values().forEach(WorkerSession::close);
     intake.close();
-    pendingCancellations.answerAll(CancelOutcome.TERM_ENDED);
+    canceller.close();
   }
 
   private boolean mayCommand() {
@@ -406,6 +412,7 @@
     unreportedWorkers.expire(now);
     workers.values().removeIf(this::closeIfGone);
     endedJobs.run(now);
+    tombstones.expire(now);
     if (queues.keepsRemovedQueues()) {
       queues.dropRemovedQueues(jobs.openQueues());
     }
@@ -471,16 +478,10 @@
         durable,
         timer.monotonicMillis() - job.submittedMillis(),
         job.objectiveMillis());
-    pendingCancellations.answer(job.id(), cancelOutcome(durable));
+    canceller.ended(job);
     scheduleDispatch();
   }
 
-  private static CancelOutcome cancelOutcome(TrackedJob.Stage durable) {
-    return durable == TrackedJob.Stage.CANCELLED
-        ? CancelOutcome.CANCELLED
-        : CancelOutcome.NO_SUCH_JOB;
-  }
-
   private void stopRuns(TrackedJob job) {
     for (TrackedStep step : job.steps()) {
       step.tasks().forEach(this::stopRun);
--- a/coordination/src/main/java/org/vanillacove/coordination/work/api/SubmitOutcome.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/api/SubmitOutcome.java
@@ -26,6 +26,9 @@
     }
   }
 
+  /** The job was cancelled before this submission arrived; it isn't accepted and won't run. */
+  record Cancelled() implements SubmitOutcome {}
+
   /**
    * Whether the job is stored isn't known; the caller submits it again with the same identifier.
    */
--- a/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/CellFixture.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.vanillacove.coordination.work.api.Adviser;
+import org.vanillacove.coordination.work.api.CancelOutcome;
 import org.vanillacove.coordination.work.api.SubmitOutcome;
 import org.vanillacove.protocol.timer.TimerService;
 import org.vanillacove.standin.memory.ManualTimerService;
@@ -33,6 +34,7 @@
   final FakeStore store = new FakeStore(timer);
   final FakeWorkers workers;
   final Map<String, SubmitOutcome> outcomes = new HashMap<>();
+  private final Map<String, CancelOutcome> cancelOutcomes = new HashMap<>();
   final SimpleMeterRegistry registry = new SimpleMeterRegistry();
   private final CellMetrics metrics = new CellMetrics(registry);
   private final boolean advised;
@@ -164,6 +166,16 @@
     cell.submit(spec, outcome -> outcomes.put(spec.id(), outcome));
   }
 
+  /** Cancels a job on behalf of a caller without an organisation. */
+  void cancel(String id) {
+    cell.cancel(id, Optional.empty(), outcome -> cancelOutcomes.put(id, outcome));
+  }
+
+  /** Returns the outcome of the last answered cancellation of a job. */
+  Optional<CancelOutcome> cancelled(String id) {
+    return Optional.ofNullable(cancelOutcomes.get(id));
+  }
+
   boolean isAccepted(String id) {
     return outcomes.get(id) instanceof SubmitOutcome.Accepted;
   }
--- a/coordination/src/test/java/org/vanillacove/coordination/work/JobOfRemovedQueueNeverRunsTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/JobOfRemovedQueueNeverRunsTest.java
@@ -134,7 +134,7 @@
       fixture.startLeader();
     }
     submit(fixture, OTHER_ID);
-    fixture.cell().cancel(ID, outcome -> {});
+    fixture.cancel(ID);
     fixture.run(3_000);
     assertThat(fixture.outcomes.get(OTHER_ID)).isInstanceOf(SubmitOutcome.Rejected.class);
     assertThat(fixture.cell().findJob(ID)).contains(JobView.CANCELLED);
--- a/coordination/src/test/java/org/vanillacove/coordination/work/OrganisationCapTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/OrganisationCapTest.java
@@ -8,7 +8,6 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.vanillacove.coordination.work.api.CancelOutcome;
 import org.vanillacove.coordination.work.api.JobView;
 import org.vanillacove.coordination.work.api.SubmitOutcome;
 import org.vanillacove.state.api.Resources;
@@ -110,7 +109,7 @@
   }
 
   private static void cancel(CellFixture fixture) {
-    fixture.cell().cancel(FIRST, (CancelOutcome outcome) -> {});
+    fixture.cancel(FIRST);
     fixture.timer.advance(50);
   }
 
--- a/coordination/src/test/java/org/vanillacove/coordination/work/RejectedJobShownAsCancelledTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/RejectedJobShownAsCancelledTest.java
@@ -24,7 +24,7 @@
     submit(fixture, FIRST);
     fixture.run(250);
     submit(fixture, CANCELLED);
-    fixture.cell().cancel(CANCELLED, outcome -> {});
+    fixture.cancel(CANCELLED);
     fixture.run(1_000);
     assertThat(fixture.outcomes.get(CANCELLED)).isInstanceOf(SubmitOutcome.Rejected.class);
     fixture.store.fault(FakeStore.Fault.NONE);
--- a/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellFaultTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellFaultTest.java
@@ -175,7 +175,7 @@
         if (!jobs.isEmpty()) {
           String id = jobs.get(random.nextInt(jobs.size())).id();
           cancelled.add(id);
-          fixture.cell().cancel(id, done -> {});
+          fixture.cancel(id);
         }
       }
       default -> {
--- a/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellTest.java
+++ b/coordination/src/test/java/org/vanillacove/coordination/work/WorkCellTest.java
@@ -89,7 +89,7 @@
     fixture.submit(CellFixture.job(ID, CellFixture.step(2, 1_000, 60_000, false, List.of())));
     fixture.run(1_000);
     AtomicReference<CancelOutcome> cancelled = new AtomicReference<>();
-    fixture.cell().cancel(ID, cancelled::set);
+    fixture.cell().cancel(ID, Optional.empty(), cancelled::set);
     fixture.run(1_500);
     assertThat(cancelled.get()).isEqualTo(CancelOutcome.CANCELLED);
     assertThat(fixture.workers.running()).isZero();
@@ -105,7 +105,7 @@
     fixture.run(1_000);
     fixture.submit(CellFixture.job(ID, CellFixture.step(6, 8_000, 60_000, false, List.of())));
     fixture.run(1_000);
-    fixture.cell().cancel(ID, outcome -> {});
+    fixture.cancel(ID);
     fixture.timer.advance(8);
     fixture.startLeader();
     String next = "00000000000000a2";
@@ -124,7 +124,7 @@
     fixture.run(1_000);
     fixture.store.fault(FakeStore.Fault.UNRESPONSIVE);
     AtomicReference<CancelOutcome> cancelled = new AtomicReference<>();
-    fixture.cell().cancel(ID, cancelled::set);
+    fixture.cell().cancel(ID, Optional.empty(), cancelled::set);
     String second = "00000000000000a2";
     fixture.submit(CellFixture.job(second, CellFixture.step(1, 1_000, 300, false, List.of())));
     fixture.cell().close();
