--- a/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
+++ b/coordination/src/main/java/org/vanillacove/coordination/work/JobIntake.java
@@ -148,8 +148,8 @@
         id,
         outcome -> {
           switch (outcome) {
-            // Another copy of a rejected submission may still arrive.
             case SubmitOutcome.Accepted accepted -> cancel.run();
+            // Another copy of the submission may still arrive.
             case SubmitOutcome.Rejected rejected -> cancel.run();
             case SubmitOutcome.Cancelled cancelled -> cancel.run();
             // Another outcome follows, once the store answers.
